Thin version of the whole path: questionnaire to answered readings and a finished job

Cause: nothing ran yet. Adds the state records, rack owner, planner, router, protocol, transport and the five programs, with bin/demo over them.

Re-run: bin/demo

--- /dev/null
+++ b/src/main/java/org/plantainloom/coordination/config/package-info.java
@@ -0,0 +1,2 @@
+/** Questionnaire, its checks, and the configuration generated from it. */
+package org.plantainloom.coordination.config;
--- /dev/null
+++ b/src/main/java/org/plantainloom/coordination/membership/MembershipView.java
@@ -0,0 +1,49 @@
+package org.plantainloom.coordination.membership;
+
+import java.util.List;
+import java.util.Optional;
+import org.plantainloom.state.MemberId;
+import org.plantainloom.state.MemberRecord;
+import org.plantainloom.state.MemberRole;
+
+/**
+ * The processes that were alive when the store was last read.
+ *
+ * @param members all live processes
+ */
+public record MembershipView(List<MemberRecord> members) {
+  /** Creates the view with a copy of the list. */
+  public MembershipView {
+    members = List.copyOf(members);
+  }
+
+  /** Returns the schedulers that take on work: alive and not leaving. */
+  public List<MemberId> schedulers() {
+    return members.stream()
+        .filter(m -> m.role() == MemberRole.SCHEDULER && !m.leaving())
+        .map(MemberRecord::id)
+        .sorted()
+        .toList();
+  }
+
+  /** Returns the number of gateways that are not leaving. */
+  public int gateways() {
+    return (int)
+        members.stream().filter(m -> m.role() == MemberRole.GATEWAY && !m.leaving()).count();
+  }
+
+  /** Returns whether the process is alive, leaving or not. */
+  public boolean isAlive(MemberId id) {
+    return member(id).isPresent();
+  }
+
+  /** Returns whether the process takes on work. */
+  public boolean isActive(MemberId id) {
+    return member(id).filter(m -> !m.leaving()).isPresent();
+  }
+
+  /** Returns the process of that name, if alive. */
+  public Optional<MemberRecord> member(MemberId id) {
+    return members.stream().filter(m -> m.id().equals(id)).findFirst();
+  }
+}
--- /dev/null
+++ b/src/main/java/org/plantainloom/coordination/membership/package-info.java
@@ -0,0 +1,2 @@
+/** Who is alive and which scheduler looks after which rack. */
+package org.plantainloom.coordination.membership;
--- /dev/null
+++ b/src/main/java/org/plantainloom/coordination/package-info.java
@@ -0,0 +1,2 @@
+/** Decisions as deterministic state machines without I/O, threads or wall clock. */
+package org.plantainloom.coordination;
--- /dev/null
+++ b/src/main/java/org/plantainloom/coordination/plan/Preemption.java
@@ -0,0 +1,108 @@
+package org.plantainloom.coordination.plan;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.plantainloom.coordination.rack.CommitmentStatus;
+import org.plantainloom.coordination.rack.RackStatus;
+import org.plantainloom.state.Commitment;
+import org.plantainloom.state.EventKind;
+import org.plantainloom.state.Priority;
+import org.plantainloom.state.ResourceVector;
+import org.plantainloom.state.TaskLaunch;
+import org.plantainloom.state.TaskRecord;
+import org.plantainloom.state.WorkerId;
+import org.plantainloom.state.WorkloadKind;
+
+/** Evicts normal batch tasks to make room for an urgent task or a replica. */
+final class Preemption {
+  private final Planner planner;
+  private final Fleet fleet;
+
+  Preemption(Planner planner, Fleet fleet) {
+    this.planner = planner;
+    this.fleet = fleet;
+  }
+
+  /** Marks tasks for eviction on the worker where the fewest have to go, and reserves the room. */
+  void makeRoom(TaskRecord task, TaskLaunch launch) {
+    if (isRoomOnTheWay(task)) {
+      return;
+    }
+    Map<WorkerId, List<Commitment>> victimsByWorker = victimsByWorker();
+    Optional<Eviction> cheapest = Optional.empty();
+    for (FleetWorker worker : fleet.workers()) {
+      if (!worker.isUsable() || task.avoided().contains(worker.info().id())) {
+        continue;
+      }
+      List<Commitment> candidates = victimsByWorker.getOrDefault(worker.info().id(), List.of());
+      Optional<Eviction> eviction = evictionOn(worker, candidates, launch.size());
+      if (eviction.isPresent()
+          && (cheapest.isEmpty() || eviction.get().cost() < cheapest.get().cost())) {
+        cheapest = eviction;
+      }
+    }
+    cheapest.ifPresent(e -> evict(e, task, launch));
+  }
+
+  // One eviction at a time for each task: its room comes free once the workers have confirmed.
+  private boolean isRoomOnTheWay(TaskRecord task) {
+    return planner.preempted().containsValue(task.id().toString());
+  }
+
+  private Map<WorkerId, List<Commitment>> victimsByWorker() {
+    Map<WorkerId, List<Commitment>> victims = new HashMap<>();
+    for (RackStatus status : planner.statuses()) {
+      for (CommitmentStatus line : status.commitments()) {
+        Commitment commitment = line.commitment();
+        if (isVictim(commitment)) {
+          victims.computeIfAbsent(commitment.worker(), w -> new ArrayList<>()).add(commitment);
+        }
+      }
+    }
+    // The least progress is lost with the youngest tasks.
+    victims.values().forEach(v -> v.sort(Comparator.comparingLong(Commitment::checkpoint)));
+    return victims;
+  }
+
+  private boolean isVictim(Commitment commitment) {
+    return commitment.launch().kind() == WorkloadKind.BATCH
+        && !planner.preempted().containsKey(commitment.ref())
+        && planner
+            .queueOf(commitment.ref().task().team())
+            .filter(q -> q.priorityOf(commitment.ref().task()) == Priority.NORMAL)
+            .isPresent();
+  }
+
+  private static Optional<Eviction> evictionOn(
+      FleetWorker worker, List<Commitment> candidates, ResourceVector size) {
+    ResourceVector free = worker.free();
+    List<Commitment> chosen = new ArrayList<>();
+    for (Commitment candidate : candidates) {
+      if (size.fitsIn(free)) {
+        break;
+      }
+      chosen.add(candidate);
+      free = free.plus(candidate.launch().size());
+    }
+    return size.fitsIn(free) ? Optional.of(new Eviction(worker, chosen)) : Optional.empty();
+  }
+
+  private void evict(Eviction eviction, TaskRecord task, TaskLaunch launch) {
+    for (Commitment victim : eviction.victims()) {
+      planner.preempted().put(victim.ref(), task.id().toString());
+      eviction.worker().giveBack(victim.launch().size());
+      planner.emit(EventKind.TASK_STOPPING, victim.ref(), "evicted for " + task.id());
+    }
+    fleet.take(eviction.worker().info().id(), task.id(), launch);
+  }
+
+  private record Eviction(FleetWorker worker, List<Commitment> victims) {
+    int cost() {
+      return victims.size();
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/plantainloom/coordination/plan/StopSelection.java
@@ -0,0 +1,101 @@
+package org.plantainloom.coordination.plan;
+
+import java.util.Collections;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeSet;
+import org.plantainloom.coordination.rack.CommitmentStatus;
+import org.plantainloom.state.RunState;
+import org.plantainloom.state.ServiceSpec;
+import org.plantainloom.state.TaskPhase;
+import org.plantainloom.state.TaskRecord;
+import org.plantainloom.state.TaskRef;
+import org.plantainloom.state.WorkerInfo;
+
+/**
+ * Chooses which bound tasks have to stop: undeclared, in a zone taken out, on leaving VMs, evicted.
+ */
+final class StopSelection {
+  private final Planner planner;
+  private final Set<TaskRef> selected = new TreeSet<>();
+
+  StopSelection(Planner planner) {
+    this.planner = planner;
+  }
+
+  Set<TaskRef> selected() {
+    return Collections.unmodifiableSet(selected);
+  }
+
+  void select() {
+    for (TeamQueue queue : planner.queues()) {
+      if (!queue.isLoaded()) {
+        continue;
+      }
+      List<TaskRecord> bound =
+          queue.persisted().tasks().stream().filter(t -> t.phase() == TaskPhase.BOUND).toList();
+      for (TaskRecord task : bound) {
+        if (queue.launchOf(task.id()).isEmpty()) {
+          selected.add(task.ref());
+        }
+      }
+      selectBatchMoves(queue, bound);
+      queue.config().services().forEach(s -> selectServiceMoves(s, bound));
+    }
+  }
+
+  void addPreempted() {
+    planner.preempted().keySet().removeIf(ref -> planner.commitment(ref).isEmpty());
+    selected.addAll(planner.preempted().keySet());
+  }
+
+  private void selectBatchMoves(TeamQueue queue, List<TaskRecord> bound) {
+    for (TaskRecord task : bound) {
+      boolean batch = queue.config().service(task.id().workload()).isEmpty();
+      if (batch && mustMove(task)) {
+        selected.add(task.ref());
+      }
+    }
+  }
+
+  // Only as many replicas move at a time as the service can spare.
+  private void selectServiceMoves(ServiceSpec service, List<TaskRecord> bound) {
+    List<TaskRecord> replicas =
+        bound.stream().filter(t -> t.id().workload().equals(service.name())).toList();
+    long running = replicas.stream().filter(this::isRunning).count();
+    int needed = ceilDiv(service.replicas() * service.survivingPercent(), 100);
+    long spare = Math.max(1, service.replicas() - needed) - (service.replicas() - running);
+    for (TaskRecord task : replicas) {
+      if (!mustMove(task) || selected.contains(task.ref())) {
+        continue;
+      }
+      // A replica that does not run costs nothing to move.
+      if (!isRunning(task)) {
+        selected.add(task.ref());
+      } else if (spare > 0) {
+        selected.add(task.ref());
+        spare--;
+      }
+    }
+  }
+
+  private static int ceilDiv(int dividend, int divisor) {
+    return (dividend + divisor - 1) / divisor;
+  }
+
+  private boolean isRunning(TaskRecord task) {
+    return planner
+        .commitment(task.ref())
+        .flatMap(CommitmentStatus::state)
+        .filter(s -> s == RunState.RUNNING)
+        .isPresent();
+  }
+
+  private boolean mustMove(TaskRecord task) {
+    Optional<WorkerInfo> worker = planner.listing().worker(task.worker().orElseThrow());
+    return worker
+        .filter(w -> w.leaving() || planner.index().zonesOut().contains(w.zone()))
+        .isPresent();
+  }
+}
--- /dev/null
+++ b/src/main/java/org/plantainloom/coordination/rack/RackReconciler.java
@@ -0,0 +1,169 @@
+package org.plantainloom.coordination.rack;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.plantainloom.state.Commitment;
+import org.plantainloom.state.RackRecord;
+import org.plantainloom.state.Release;
+import org.plantainloom.state.ReleaseOutcome;
+import org.plantainloom.state.ResourceVector;
+import org.plantainloom.state.TaskRef;
+import org.plantainloom.state.TaskReport;
+import org.plantainloom.state.WorkerId;
+import org.plantainloom.state.WorkerInfo;
+
+/** Derives a rack's next record from the persisted one and from what its owner knows. */
+final class RackReconciler {
+  private final RackOwner owner;
+  private final RackRecord current;
+  private final long nowMs;
+  private final LeasePolicy policy;
+
+  RackReconciler(RackOwner owner, RackRecord current, long nowMs) {
+    this.owner = owner;
+    this.current = current;
+    this.nowMs = nowMs;
+    this.policy = owner.policy();
+  }
+
+  /** Returns the next record; equal to the current one if nothing has to be persisted. */
+  RackRecord next() {
+    List<Commitment> commitments = new ArrayList<>();
+    List<Release> releases = unacknowledged();
+    keepOrRelease(commitments, releases);
+    commitOrDecline(commitments, releases);
+    long plannerEpoch =
+        Math.max(current.plannerEpoch(), owner.plan().map(RackPlan::plannerEpoch).orElse(0L));
+    RackRecord next =
+        new RackRecord(
+            current.rack(),
+            current.owner(),
+            current.epoch(),
+            plannerEpoch,
+            current.renewalHorizonMs(),
+            commitments,
+            releases);
+    return withFreshHorizon(withFreshCheckpoints(next));
+  }
+
+  private List<Release> unacknowledged() {
+    Set<TaskRef> acknowledged =
+        Set.copyOf(owner.plan().map(RackPlan::acknowledged).orElse(List.of()));
+    List<Release> kept = new ArrayList<>(current.releases());
+    kept.removeIf(r -> acknowledged.contains(r.ref()));
+    return kept;
+  }
+
+  private void keepOrRelease(List<Commitment> commitments, List<Release> releases) {
+    for (Commitment commitment : current.commitments()) {
+      Optional<Release> release = owner.releaseOf(commitment, nowMs);
+      if (release.isPresent()) {
+        releases.add(release.get());
+      } else {
+        commitments.add(commitment);
+      }
+    }
+  }
+
+  private void commitOrDecline(List<Commitment> commitments, List<Release> releases) {
+    Map<WorkerId, ResourceVector> used = new HashMap<>();
+    for (Commitment commitment : commitments) {
+      used.merge(commitment.worker(), commitment.launch().size(), ResourceVector::plus);
+    }
+    for (Binding binding : owner.plan().map(RackPlan::bindings).orElse(List.of())) {
+      if (current.commitment(binding.ref()).isPresent()
+          || current.release(binding.ref()).isPresent()) {
+        continue;
+      }
+      Admission admission = admit(binding, used);
+      if (admission == Admission.COMMIT) {
+        long generation = owner.listing().worker(binding.worker()).orElseThrow().generation();
+        commitments.add(
+            new Commitment(
+                binding.ref(),
+                binding.worker(),
+                generation,
+                binding.launch(),
+                binding.checkpoint()));
+        used.merge(binding.worker(), binding.launch().size(), ResourceVector::plus);
+      } else if (admission == Admission.DECLINE) {
+        releases.add(
+            new Release(
+                binding.ref(), binding.worker(), ReleaseOutcome.DECLINED, binding.checkpoint()));
+      }
+    }
+  }
+
+  private enum Admission {
+    COMMIT,
+    DECLINE,
+    WAIT
+  }
+
+  private Admission admit(Binding binding, Map<WorkerId, ResourceVector> used) {
+    if (owner.isStopRequested(binding.ref())) {
+      return Admission.DECLINE;
+    }
+    if (!owner.areZonesFresh(nowMs)) {
+      return Admission.WAIT;
+    }
+    Optional<WorkerInfo> listed = owner.listing().worker(binding.worker());
+    if (listed.isEmpty()) {
+      return Admission.DECLINE;
+    }
+    WorkerInfo worker = listed.get();
+    WorkerWatch watch = owner.watch(worker.id(), nowMs);
+    ResourceVector wanted =
+        used.getOrDefault(worker.id(), ResourceVector.ZERO).plus(binding.launch().size());
+    boolean usable =
+        !worker.leaving()
+            && worker.rack().equals(current.rack())
+            && !owner.isZoneOut(worker)
+            && !watch.isSilent(nowMs, policy.unreachableMs())
+            && watch.generation() <= worker.generation()
+            && wanted.fitsIn(worker.capacity());
+    return usable ? Admission.COMMIT : Admission.DECLINE;
+  }
+
+  // Progress alone is not worth a write each time; it rides on other changes or waits its turn.
+  private RackRecord withFreshCheckpoints(RackRecord next) {
+    boolean changedOtherwise = !next.equals(current);
+    if (!changedOtherwise && !owner.areCheckpointsDue(nowMs)) {
+      return next;
+    }
+    List<Commitment> refreshed = new ArrayList<>();
+    for (Commitment commitment : next.commitments()) {
+      long reported = owner.reportOf(commitment).map(TaskReport::checkpoint).orElse(0L);
+      refreshed.add(
+          reported > commitment.checkpoint() ? commitment.withCheckpoint(reported) : commitment);
+    }
+    return new RackRecord(
+        next.rack(),
+        next.owner(),
+        next.epoch(),
+        next.plannerEpoch(),
+        next.renewalHorizonMs(),
+        refreshed,
+        next.releases());
+  }
+
+  private RackRecord withFreshHorizon(RackRecord next) {
+    long wantedMs = nowMs + policy.horizonMs();
+    boolean near = next.renewalHorizonMs() < wantedMs - policy.horizonSlackMs();
+    if (next.commitments().isEmpty() || !near) {
+      return next;
+    }
+    return new RackRecord(
+        next.rack(),
+        next.owner(),
+        next.epoch(),
+        next.plannerEpoch(),
+        wantedMs,
+        next.commitments(),
+        next.releases());
+  }
+}
--- /dev/null
+++ b/src/main/java/org/plantainloom/coordination/rack/WorkerWatch.java
@@ -0,0 +1,81 @@
+package org.plantainloom.coordination.rack;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import org.plantainloom.state.Commitment;
+import org.plantainloom.state.TaskRef;
+import org.plantainloom.state.TaskReport;
+import org.plantainloom.state.WorkerReport;
+
+/** What an owner knows of one worker: its last report and since when it is silent. */
+final class WorkerWatch {
+  private static final long NEVER = -1;
+
+  private final Map<TaskRef, Long> endedSinceMs = new HashMap<>();
+  private Optional<WorkerReport> report = Optional.empty();
+  private long answeredAtMs;
+  private long missingSinceMs = NEVER;
+  private long fencedAtMs = NEVER;
+
+  WorkerWatch(long nowMs) {
+    this.answeredAtMs = nowMs;
+  }
+
+  void reported(WorkerReport newReport, long ownEpoch, long nowMs) {
+    report = Optional.of(newReport);
+    answeredAtMs = nowMs;
+    if (newReport.accepted() && newReport.fencingEpoch() == ownEpoch && fencedAtMs == NEVER) {
+      fencedAtMs = nowMs;
+    }
+    endedSinceMs.keySet().removeIf(ref -> newReport.task(ref).isEmpty());
+    for (TaskReport task : newReport.tasks()) {
+      if (task.state().outcome().isPresent()) {
+        endedSinceMs.putIfAbsent(task.ref(), nowMs);
+      }
+    }
+  }
+
+  void listed(boolean present, long nowMs) {
+    if (present) {
+      missingSinceMs = NEVER;
+    } else if (missingSinceMs == NEVER) {
+      missingSinceMs = nowMs;
+    }
+  }
+
+  Optional<TaskReport> task(Commitment commitment) {
+    return report
+        .filter(r -> r.generation() == commitment.generation())
+        .flatMap(r -> r.task(commitment.ref()));
+  }
+
+  List<TaskReport> tasks() {
+    return report.map(WorkerReport::tasks).orElse(List.of());
+  }
+
+  /** Returns the generation of the VM that last answered; 0 if none did. */
+  long generation() {
+    return report.map(WorkerReport::generation).orElse(0L);
+  }
+
+  boolean isSilent(long nowMs, long limitMs) {
+    return nowMs - answeredAtMs > limitMs;
+  }
+
+  boolean isMissing(long nowMs, long limitMs) {
+    return missingSinceMs != NEVER && nowMs - missingSinceMs > limitMs;
+  }
+
+  /** Returns when the worker began to refuse all former owners of the rack. */
+  OptionalLong fencedAtMs() {
+    return fencedAtMs == NEVER ? OptionalLong.empty() : OptionalLong.of(fencedAtMs);
+  }
+
+  boolean endedFor(TaskRef ref, long nowMs, long limitMs) {
+    Long since = endedSinceMs.get(ref);
+    return since != null && nowMs - since > limitMs;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/plantainloom/coordination/rack/ZoneView.java
@@ -0,0 +1,17 @@
+package org.plantainloom.coordination.rack;
+
+import java.util.Set;
+import org.plantainloom.state.ZoneName;
+
+/**
+ * Availability zones taken out, as read from the store.
+ *
+ * @param asOfMs when the read was sent, in milliseconds since the epoch
+ * @param zonesOut zones in which nothing may start
+ */
+public record ZoneView(long asOfMs, Set<ZoneName> zonesOut) {
+  /** Creates the view with a copy of the set. */
+  public ZoneView {
+    zonesOut = Set.copyOf(zonesOut);
+  }
+}
--- /dev/null
+++ b/src/main/java/org/plantainloom/coordination/timeline/package-info.java
@@ -0,0 +1,2 @@
+/** Bounded record of typed events. */
+package org.plantainloom.coordination.timeline;
--- /dev/null
+++ b/src/main/java/org/plantainloom/program/Program.java
@@ -0,0 +1,121 @@
+package org.plantainloom.program;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.DefaultParser;
+import org.apache.commons.cli.Option;
+import org.apache.commons.cli.Options;
+import org.apache.commons.cli.ParseException;
+import org.apache.commons.cli.help.HelpFormatter;
+import org.plantainloom.protocol.document.DocumentReader;
+import org.plantainloom.protocol.document.InvalidDocumentException;
+
+/**
+ * Start of a program: options, settings, exit codes.
+ *
+ * <pre>{@code
+ * Program.named("plantainloom-gateway").run(args, GatewaySettings::read, GatewayProcess::run);
+ * }</pre>
+ */
+public final class Program {
+  private static final String VERSION = "0.1.0";
+
+  private final String name;
+
+  private Program(String name) {
+    this.name = name;
+  }
+
+  /** Reads the settings of a program from a document. */
+  @FunctionalInterface
+  public interface SettingsReader<S> {
+    /**
+     * Reads the settings.
+     *
+     * @throws InvalidDocumentException if they have any mistake
+     */
+    S read(DocumentReader document) throws InvalidDocumentException;
+  }
+
+  /** Runs a program with its settings until it is stopped. */
+  @FunctionalInterface
+  public interface Body<S> {
+    /**
+     * Runs the program.
+     *
+     * @throws Exception if it cannot start
+     */
+    ExitCode run(S settings) throws Exception;
+  }
+
+  /** Returns the start of a program with that name. */
+  public static Program named(String name) {
+    return new Program(name);
+  }
+
+  /** Parses the command line, reads the settings, runs the program and exits if it ends. */
+  public <S> void run(String[] args, SettingsReader<S> reader, Body<S> body) {
+    ExitCode code = execute(args, reader, body);
+    if (code != ExitCode.OK) {
+      System.exit(code.code());
+    }
+  }
+
+  <S> ExitCode execute(String[] args, SettingsReader<S> reader, Body<S> body) {
+    Options options = options();
+    try {
+      CommandLine line = new DefaultParser().parse(options, args);
+      if (line.hasOption("help")) {
+        printHelp(options);
+        return ExitCode.OK;
+      }
+      if (line.hasOption("version")) {
+        System.out.println(name + " " + VERSION);
+        return ExitCode.OK;
+      }
+      if (!line.hasOption("config")) {
+        throw UsageException.of("expected --config FILE but found none");
+      }
+      return body.run(settings(Path.of(line.getOptionValue("config")), reader));
+    } catch (ParseException | UsageException e) {
+      System.err.println(e.getMessage());
+      return ExitCode.USAGE;
+    } catch (Exception e) {
+      System.err.println(name + ": " + e);
+      return ExitCode.FAILED;
+    }
+  }
+
+  private static Options options() {
+    Options options = new Options();
+    options.addOption(Option.builder("h").longOpt("help").desc("show this help").get());
+    options.addOption(Option.builder("V").longOpt("version").desc("show the version").get());
+    options.addOption(
+        Option.builder("c")
+            .longOpt("config")
+            .hasArg()
+            .argName("FILE")
+            .desc("settings: JSON with comments")
+            .get());
+    return options;
+  }
+
+  private void printHelp(Options options) throws IOException {
+    HelpFormatter.builder()
+        .setShowSince(false)
+        .get()
+        .printHelp(name + " --config FILE", "", options, "", false);
+  }
+
+  private static <S> S settings(Path file, SettingsReader<S> reader) throws UsageException {
+    try {
+      return reader.read(DocumentReader.parse(file.toString(), Files.readString(file)));
+    } catch (IOException e) {
+      throw UsageException.unreadable(file, e);
+    } catch (InvalidDocumentException e) {
+      throw UsageException.of(e);
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/plantainloom/program/gateway/package-info.java
@@ -0,0 +1,2 @@
+/** The program that answers callers. */
+package org.plantainloom.program.gateway;
--- /dev/null
+++ b/src/main/java/org/plantainloom/program/load/package-info.java
@@ -0,0 +1,2 @@
+/** Load generator for demos and benchmarks. */
+package org.plantainloom.program.load;
--- /dev/null
+++ b/src/main/java/org/plantainloom/program/operator/package-info.java
@@ -0,0 +1,2 @@
+/** The operators' command line. */
+package org.plantainloom.program.operator;
--- /dev/null
+++ b/src/main/java/org/plantainloom/program/scheduler/package-info.java
@@ -0,0 +1,2 @@
+/** The program that places tasks and serves the administration API. */
+package org.plantainloom.program.scheduler;
--- /dev/null
+++ b/src/main/java/org/plantainloom/program/standin/StandinMain.java
@@ -0,0 +1,13 @@
+package org.plantainloom.program.standin;
+
+import org.plantainloom.program.Program;
+
+/** Entry point of {@code plantainloom-standin}. */
+public final class StandinMain {
+  private StandinMain() {}
+
+  /** Starts the stand-in. */
+  public static void main(String[] args) {
+    Program.named("plantainloom-standin").run(args, StandinSettings::read, StandinProcess::run);
+  }
+}
--- /dev/null
+++ b/src/main/java/org/plantainloom/program/standin/WorkerStandin.java
@@ -0,0 +1,185 @@
+package org.plantainloom.program.standin;
+
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import org.apache.commons.rng.RestorableUniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+import org.plantainloom.state.ResourceVector;
+import org.plantainloom.state.RunState;
+import org.plantainloom.state.StartCommand;
+import org.plantainloom.state.TaskLaunch;
+import org.plantainloom.state.TaskRef;
+import org.plantainloom.state.TimeSource;
+import org.plantainloom.state.WorkerCommands;
+import org.plantainloom.state.WorkerInfo;
+import org.plantainloom.state.WorkerReport;
+import org.plantainloom.state.WorkloadKind;
+
+/** One worker in the small: runs tasks under leases and answers requests. */
+final class WorkerStandin {
+  private final WorkerInfo info;
+  private final ExecutionLedger ledger;
+  private final TimeSource time;
+  private final double runTimeLies;
+  private final RestorableUniformRandomProvider random;
+  private final Map<TaskRef, RunningTask> tasks = new TreeMap<>();
+  private long fencingEpoch;
+  private int requestsInFlight;
+
+  WorkerStandin(
+      WorkerInfo info, ExecutionLedger ledger, TimeSource time, double runTimeLies, long seed) {
+    this.info = info;
+    this.ledger = ledger;
+    this.time = time;
+    this.runTimeLies = runTimeLies;
+    this.random = RandomSource.SPLIT_MIX_64.create(seed);
+  }
+
+  WorkerInfo info() {
+    return info;
+  }
+
+  /** Takes a control message and reports; refuses former owners and messages to another VM. */
+  synchronized WorkerReport sync(WorkerCommands commands) {
+    advance();
+    boolean accepted =
+        commands.rackEpoch() >= fencingEpoch && commands.generation() == info.generation();
+    if (accepted) {
+      fencingEpoch = commands.rackEpoch();
+      apply(commands);
+    }
+    return new WorkerReport(
+        info.id(),
+        info.generation(),
+        fencingEpoch,
+        accepted,
+        tasks.values().stream().map(RunningTask::report).toList());
+  }
+
+  private void apply(WorkerCommands commands) {
+    commands.stops().forEach(this::stop);
+    commands.starts().forEach(s -> start(s, commands.leaseUntilMs()));
+    commands
+        .renewals()
+        .forEach(
+            ref ->
+                Optional.ofNullable(tasks.get(ref))
+                    .ifPresent(t -> t.renew(commands.leaseUntilMs())));
+    commands
+        .throttles()
+        .forEach(
+            t -> Optional.ofNullable(tasks.get(t.ref())).ifPresent(r -> r.throttle(t.percent())));
+    commands.forgets().forEach(this::forget);
+  }
+
+  private void start(StartCommand command, long leaseUntilMs) {
+    if (tasks.containsKey(command.ref()) || time.nowMs() > command.notAfterMs()) {
+      return;
+    }
+    double lie = Math.pow(runTimeLies, 2 * random.nextDouble() - 1);
+    long trueRunMs = Math.round(command.launch().runMs() * lie);
+    tasks.put(
+        command.ref(),
+        new RunningTask(
+            command.ref(),
+            command.launch(),
+            trueRunMs,
+            command.checkpoint(),
+            RunState.RUNNING,
+            leaseUntilMs,
+            time.nowMs()));
+    ledger.taskStarted(command.ref());
+    checkCapacity();
+  }
+
+  private void checkCapacity() {
+    ResourceVector used =
+        tasks.values().stream()
+            .filter(RunningTask::isLive)
+            .map(t -> t.launch().size())
+            .reduce(ResourceVector.ZERO, ResourceVector::plus);
+    if (!used.fitsIn(info.capacity())) {
+      ledger.overcommitted();
+    }
+  }
+
+  private void stop(TaskRef ref) {
+    RunningTask task = tasks.get(ref);
+    if (task == null) {
+      tasks.put(ref, barred(ref));
+      return;
+    }
+    boolean wasLive = task.isLive();
+    task.stop();
+    noteEnd(task, wasLive);
+  }
+
+  private RunningTask barred(TaskRef ref) {
+    TaskLaunch nothing = new TaskLaunch(WorkloadKind.BATCH, ResourceVector.ZERO, 0, 0);
+    return new RunningTask(ref, nothing, 0, 0, RunState.STOPPED, 0, time.nowMs());
+  }
+
+  private void forget(TaskRef ref) {
+    RunningTask task = tasks.get(ref);
+    if (task != null && !task.isLive()) {
+      tasks.remove(ref);
+    }
+  }
+
+  /** Moves all tasks on to now. */
+  synchronized void advance() {
+    for (RunningTask task : tasks.values()) {
+      boolean wasLive = task.isLive();
+      ledger.worked(task.advance(time.nowMs()));
+      noteEnd(task, wasLive);
+    }
+  }
+
+  private void noteEnd(RunningTask task, boolean wasLive) {
+    if (wasLive && !task.isLive()) {
+      ledger.taskEnded(task.ref(), task.state() == RunState.FINISHED);
+    }
+  }
+
+  /** Takes a request for a replica, or returns empty if it is not run. */
+  synchronized Optional<RunningTask> beginRequest(String incarnation, String requestId) {
+    advance();
+    if (requestsInFlight >= info.slots()) {
+      return Optional.empty();
+    }
+    Optional<RunningTask> task =
+        tasks.values().stream()
+            .filter(t -> t.ref().toString().equals(incarnation))
+            .filter(RunningTask::beginRequest)
+            .findFirst();
+    if (task.isPresent()) {
+      requestsInFlight++;
+      ledger.requestRan(requestId);
+    }
+    return task;
+  }
+
+  synchronized void endRequest(RunningTask task) {
+    requestsInFlight--;
+    boolean wasLive = task.isLive();
+    task.endRequest();
+    noteEnd(task, wasLive);
+  }
+
+  synchronized int requestsInFlight() {
+    return requestsInFlight;
+  }
+
+  /** Returns how long a request takes: longer with batch work beside it, with a random tail. */
+  synchronized long requestMs(int meanMs) {
+    int busyCpu =
+        tasks.values().stream()
+            .filter(t -> t.isLive() && t.launch().kind() == WorkloadKind.BATCH)
+            .mapToInt(t -> t.launch().size().cpuMillis())
+            .sum();
+    double interference = 1 + (double) busyCpu / info.capacity().cpuMillis();
+    double tail = 0.5 - 0.5 * Math.log(1 - random.nextDouble());
+    return Math.round(meanMs * interference * tail);
+  }
+}
--- /dev/null
+++ b/src/main/java/org/plantainloom/protocol/Json.java
@@ -0,0 +1,122 @@
+package org.plantainloom.protocol;
+
+import com.fasterxml.jackson.annotation.JsonInclude;
+import com.fasterxml.jackson.core.JsonGenerator;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.DeserializationContext;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.KeyDeserializer;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.SerializerProvider;
+import com.fasterxml.jackson.databind.deser.std.FromStringDeserializer;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.fasterxml.jackson.databind.module.SimpleModule;
+import com.fasterxml.jackson.databind.ser.std.StdSerializer;
+import com.fasterxml.jackson.databind.ser.std.ToStringSerializer;
+import com.fasterxml.jackson.datatype.jdk8.Jdk8Module;
+import java.io.IOException;
+import java.util.function.Function;
+import org.plantainloom.state.HybridTimestamp;
+import org.plantainloom.state.MemberId;
+import org.plantainloom.state.RackId;
+import org.plantainloom.state.TaskId;
+import org.plantainloom.state.TeamId;
+import org.plantainloom.state.WorkerId;
+import org.plantainloom.state.ZoneName;
+
+/** JSON of all records that travel between processes or into the store. */
+public final class Json {
+  private static final ObjectMapper MAPPER =
+      JsonMapper.builder()
+          .addModule(new Jdk8Module())
+          .addModule(names())
+          .disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
+          .serializationInclusion(JsonInclude.Include.NON_ABSENT)
+          .build();
+
+  private Json() {}
+
+  /** Returns the text of a record. */
+  public static String write(Object value) {
+    try {
+      return MAPPER.writeValueAsString(value);
+    } catch (JsonProcessingException e) {
+      throw new IllegalArgumentException("not a record with JSON: " + value.getClass(), e);
+    }
+  }
+
+  /** Returns the text of a record, indented for people. */
+  public static String writePretty(Object value) {
+    try {
+      return MAPPER.writerWithDefaultPrettyPrinter().writeValueAsString(value);
+    } catch (JsonProcessingException e) {
+      throw new IllegalArgumentException("not a record with JSON: " + value.getClass(), e);
+    }
+  }
+
+  /**
+   * Returns the record of a text.
+   *
+   * @throws MalformedMessageException if the text is not the JSON of that type
+   */
+  public static <T> T read(String text, Class<T> type) {
+    try {
+      T value = MAPPER.readValue(text, type);
+      if (value == null) {
+        throw MalformedMessageException.of(type, "null", null);
+      }
+      return value;
+    } catch (JsonProcessingException e) {
+      throw MalformedMessageException.of(type, e.getOriginalMessage(), e);
+    }
+  }
+
+  private static SimpleModule names() {
+    SimpleModule module = new SimpleModule("names");
+    add(module, WorkerId.class, WorkerId::new);
+    add(module, RackId.class, RackId::new);
+    add(module, ZoneName.class, ZoneName::new);
+    add(module, TeamId.class, TeamId::new);
+    add(module, MemberId.class, MemberId::new);
+    add(module, TaskId.class, TaskId::parse);
+    add(module, HybridTimestamp.class, HybridTimestamp::parse);
+    return module;
+  }
+
+  private static <T> void add(SimpleModule module, Class<T> type, Function<String, T> parse) {
+    module.addSerializer(type, ToStringSerializer.instance);
+    module.addKeySerializer(type, new ToStringKeySerializer<>(type));
+    module.addDeserializer(
+        type,
+        new FromStringDeserializer<T>(type) {
+          private static final long serialVersionUID = 1L;
+
+          @Override
+          protected T _deserialize(String value, DeserializationContext context) {
+            return parse.apply(value);
+          }
+        });
+    module.addKeyDeserializer(
+        type,
+        new KeyDeserializer() {
+          @Override
+          public Object deserializeKey(String key, DeserializationContext context) {
+            return parse.apply(key);
+          }
+        });
+  }
+
+  private static final class ToStringKeySerializer<T> extends StdSerializer<T> {
+    private static final long serialVersionUID = 1L;
+
+    ToStringKeySerializer(Class<T> type) {
+      super(type);
+    }
+
+    @Override
+    public void serialize(T value, JsonGenerator generator, SerializerProvider provider)
+        throws IOException {
+      generator.writeFieldName(value.toString());
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/plantainloom/protocol/message/StoreRevision.java
@@ -0,0 +1,8 @@
+package org.plantainloom.protocol.message;
+
+/**
+ * Revision of a key after a write.
+ *
+ * @param revision the key's revision
+ */
+public record StoreRevision(long revision) {}
--- /dev/null
+++ b/src/main/java/org/plantainloom/protocol/message/package-info.java
@@ -0,0 +1,2 @@
+/** Messages between the system's own processes and its operators. */
+package org.plantainloom.protocol.message;
--- /dev/null
+++ b/src/main/java/org/plantainloom/state/ResourceVector.java
@@ -0,0 +1,37 @@
+package org.plantainloom.state;
+
+/**
+ * Amount of processor, memory and accelerators.
+ *
+ * @param cpuMillis processor time in thousandths of a core
+ * @param memoryMb memory in megabytes
+ * @param accelerators whole accelerators
+ */
+public record ResourceVector(int cpuMillis, int memoryMb, int accelerators) {
+  /** The empty amount. */
+  public static final ResourceVector ZERO = new ResourceVector(0, 0, 0);
+
+  /** Returns the sum of both amounts. */
+  public ResourceVector plus(ResourceVector other) {
+    return new ResourceVector(
+        cpuMillis + other.cpuMillis, memoryMb + other.memoryMb, accelerators + other.accelerators);
+  }
+
+  /** Returns this amount less the other; components may become negative. */
+  public ResourceVector minus(ResourceVector other) {
+    return new ResourceVector(
+        cpuMillis - other.cpuMillis, memoryMb - other.memoryMb, accelerators - other.accelerators);
+  }
+
+  /** Returns whether every component is at most that of the capacity. */
+  public boolean fitsIn(ResourceVector capacity) {
+    return cpuMillis <= capacity.cpuMillis
+        && memoryMb <= capacity.memoryMb
+        && accelerators <= capacity.accelerators;
+  }
+
+  /** Returns whether no component is negative. */
+  public boolean isNonNegative() {
+    return cpuMillis >= 0 && memoryMb >= 0 && accelerators >= 0;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/plantainloom/state/package-info.java
@@ -0,0 +1,2 @@
+/** Immutable records, the pure functions on them, and the ports to the platform. */
+package org.plantainloom.state;
--- /dev/null
+++ b/src/main/java/org/plantainloom/transport/admin/ConfigChanges.java
@@ -0,0 +1,131 @@
+package org.plantainloom.transport.admin;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Function;
+import java.util.function.UnaryOperator;
+import org.plantainloom.protocol.Json;
+import org.plantainloom.state.ConfigIndex;
+import org.plantainloom.state.KeyValueStore;
+import org.plantainloom.state.Keys;
+import org.plantainloom.state.ReadResult;
+import org.plantainloom.state.TeamConfig;
+import org.plantainloom.state.TeamId;
+import org.plantainloom.state.WriteResult;
+import org.plantainloom.state.ZoneName;
+
+/**
+ * Puts changes of the configuration in force by compare-and-swap.
+ *
+ * <p>A team's new document is written first, under a key of its own; the change is accepted when
+ * the index moves on to it. A write whose answer was lost is settled by reading the index back and
+ * looking for the change id. Methods block and are called on blocking threads only.
+ */
+public final class ConfigChanges {
+  private static final int MAX_ATTEMPTS = 10;
+
+  private final KeyValueStore store;
+
+  /** Creates changes on the store. */
+  public ConfigChanges(KeyValueStore store) {
+    this.store = store;
+  }
+
+  /** Puts a team's configuration in force, as derived from the one before. */
+  public ChangeOutcome changeTeam(
+      ChangeRequest request, TeamId team, UnaryOperator<TeamConfig> change) {
+    return change(
+        request,
+        index -> {
+          Optional<TeamConfig> current = teamConfig(index, team);
+          if (current.isEmpty()) {
+            return Optional.empty();
+          }
+          String version = (index.revision() + 1) + "-" + request.changeId();
+          String document = Json.write(change.apply(current.get()));
+          // A conflict means that an earlier attempt has written the same document already.
+          WriteResult written =
+              store
+                  .compareAndSwap(Keys.teamConfig(team, version), KeyValueStore.ABSENT, document)
+                  .join();
+          return written instanceof WriteResult.Unknown
+              ? Optional.empty()
+              : Optional.of(index.withTeam(team, version, request.changeId()));
+        });
+  }
+
+  /** Takes an availability zone out or brings it back. */
+  public ChangeOutcome changeZone(ChangeRequest request, ZoneName zone, boolean out) {
+    return change(request, index -> Optional.of(index.withZone(zone, out, request.changeId())));
+  }
+
+  private ChangeOutcome change(
+      ChangeRequest request, Function<ConfigIndex, Optional<ConfigIndex>> derive) {
+    String reason = "no attempt was made";
+    for (int attempt = 0; attempt < MAX_ATTEMPTS; attempt++) {
+      ReadResult read = store.read(Keys.CONFIG_INDEX).join();
+      if (read instanceof ReadResult.Unavailable unavailable) {
+        reason = unavailable.reason();
+        continue;
+      }
+      ConfigIndex index = indexOf(read);
+      Optional<ChangeOutcome> settled = settled(request, index);
+      if (settled.isPresent()) {
+        return settled.get();
+      }
+      Optional<ConfigIndex> next = derive.apply(index);
+      if (next.isEmpty()) {
+        reason = "the team's document could not be read or written";
+        continue;
+      }
+      WriteResult result =
+          store.compareAndSwap(Keys.CONFIG_INDEX, revisionOf(read), Json.write(next.get())).join();
+      if (result instanceof WriteResult.Written) {
+        return new ChangeOutcome.Accepted(next.get().revision());
+      }
+      reason = "the index changed or its answer was lost";
+    }
+    return new ChangeOutcome.Unavailable(reason);
+  }
+
+  private static Optional<ChangeOutcome> settled(ChangeRequest request, ConfigIndex index) {
+    if (index.contains(request.changeId())) {
+      return Optional.of(new ChangeOutcome.Accepted(index.revision()));
+    }
+    boolean unexpected = request.expectedRevision().filter(r -> r != index.revision()).isPresent();
+    if (unexpected) {
+      List<String> changes = index.changes();
+      String latest = changes.isEmpty() ? "" : changes.get(changes.size() - 1);
+      return Optional.of(new ChangeOutcome.Conflict(index.revision(), latest));
+    }
+    return Optional.empty();
+  }
+
+  /** Returns the index in force, or empty if the store does not answer. */
+  public Optional<ConfigIndex> index() {
+    ReadResult read = store.read(Keys.CONFIG_INDEX).join();
+    return read instanceof ReadResult.Unavailable ? Optional.empty() : Optional.of(indexOf(read));
+  }
+
+  /** Returns a team's configuration under an index, or empty if the store does not answer. */
+  public Optional<TeamConfig> teamConfig(ConfigIndex index, TeamId team) {
+    String version = index.teams().get(team);
+    if (version == null) {
+      return Optional.of(TeamConfig.empty(team));
+    }
+    ReadResult read = store.read(Keys.teamConfig(team, version)).join();
+    return read instanceof ReadResult.Found found
+        ? Optional.of(Json.read(found.value(), TeamConfig.class))
+        : Optional.empty();
+  }
+
+  private static ConfigIndex indexOf(ReadResult read) {
+    return read instanceof ReadResult.Found found
+        ? Json.read(found.value(), ConfigIndex.class)
+        : ConfigIndex.empty();
+  }
+
+  private static long revisionOf(ReadResult read) {
+    return read instanceof ReadResult.Found found ? found.revision() : KeyValueStore.ABSENT;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/plantainloom/transport/admin/package-info.java
@@ -0,0 +1,2 @@
+/** The administration API. */
+package org.plantainloom.transport.admin;
--- /dev/null
+++ b/src/main/java/org/plantainloom/transport/gateway/package-info.java
@@ -0,0 +1,2 @@
+/** Duties of a gateway process. */
+package org.plantainloom.transport.gateway;
--- /dev/null
+++ b/src/main/java/org/plantainloom/transport/http/JsonClient.java
@@ -0,0 +1,109 @@
+package org.plantainloom.transport.http;
+
+import com.linecorp.armeria.client.ClientFactory;
+import com.linecorp.armeria.client.RequestOptions;
+import com.linecorp.armeria.client.WebClient;
+import com.linecorp.armeria.common.AggregatedHttpResponse;
+import com.linecorp.armeria.common.HttpData;
+import com.linecorp.armeria.common.HttpMethod;
+import com.linecorp.armeria.common.HttpRequest;
+import com.linecorp.armeria.common.MediaType;
+import com.linecorp.armeria.common.RequestHeaders;
+import com.linecorp.armeria.common.RequestHeadersBuilder;
+import com.linecorp.armeria.common.metric.NoopMeterRegistry;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Function;
+import org.jboss.logging.Logger;
+import org.plantainloom.protocol.Headers;
+import org.plantainloom.protocol.MalformedMessageException;
+import org.plantainloom.state.HybridClock;
+import org.plantainloom.state.HybridTimestamp;
+
+/** HTTP client for messages between processes; never fails, but tells that no answer came. */
+public final class JsonClient implements AutoCloseable {
+  private static final Logger LOG = Logger.getLogger(JsonClient.class);
+  private static final long CONNECT_TIMEOUT_MS = 1_000;
+  private static final long IDLE_TIMEOUT_MS = 10_000;
+  private static final long MAX_ANSWER_BYTES = 16L << 20;
+
+  private final ClientFactory factory;
+  private final WebClient client;
+  private final HybridClock clock;
+
+  private JsonClient(ClientFactory factory, HybridClock clock) {
+    this.factory = factory;
+    this.clock = clock;
+    this.client = WebClient.builder().factory(factory).maxResponseLength(MAX_ANSWER_BYTES).build();
+  }
+
+  /** Creates a client whose messages carry the clock's stamps. */
+  public static JsonClient create(HybridClock clock) {
+    ClientFactory factory =
+        ClientFactory.builder()
+            .meterRegistry(NoopMeterRegistry.get())
+            .connectTimeoutMillis(CONNECT_TIMEOUT_MS)
+            .idleTimeoutMillis(IDLE_TIMEOUT_MS)
+            .build();
+    return new JsonClient(factory, clock);
+  }
+
+  /** Sends a GET. */
+  public CompletableFuture<HttpReply> get(String address, String path, long timeoutMs) {
+    return send(RequestHeaders.builder(HttpMethod.GET, url(address, path)), "", timeoutMs);
+  }
+
+  /** Sends a request with a JSON body. */
+  public CompletableFuture<HttpReply> send(
+      HttpMethod method, String address, String path, String body, long timeoutMs) {
+    return send(RequestHeaders.builder(method, url(address, path)), body, timeoutMs);
+  }
+
+  /** Sends a request with a JSON body and further headers. */
+  public CompletableFuture<HttpReply> send(
+      RequestHeadersBuilder headers, String body, long timeoutMs) {
+    headers.set(Headers.CLOCK, clock.tick().toString());
+    if (!body.isEmpty()) {
+      headers.contentType(MediaType.JSON_UTF_8);
+    }
+    RequestOptions options = RequestOptions.builder().responseTimeoutMillis(timeoutMs).build();
+    return client
+        .execute(HttpRequest.of(headers.build(), HttpData.ofUtf8(body)), options)
+        .aggregate()
+        .handle((answer, failure) -> failure == null ? reply(answer) : missing(failure));
+  }
+
+  /** Returns the URL of a path at an address. */
+  public static String url(String address, String path) {
+    return "h1c://" + address + path;
+  }
+
+  private HttpReply reply(AggregatedHttpResponse answer) {
+    String stamp = answer.headers().get(Headers.CLOCK);
+    if (stamp != null) {
+      clock.observe(HybridTimestamp.parse(stamp));
+    }
+    return new HttpReply(answer.status().code(), answer.contentUtf8());
+  }
+
+  /** Returns a decoder that gives the fallback if the answer is no JSON of the expected type. */
+  public static <T> Function<HttpReply, T> decoding(Function<HttpReply, T> decode, T fallback) {
+    return reply -> {
+      try {
+        return decode.apply(reply);
+      } catch (MalformedMessageException e) {
+        LOG.warnf("malformed answer: %s", e.getMessage());
+        return fallback;
+      }
+    };
+  }
+
+  private static HttpReply missing(Throwable failure) {
+    Throwable cause = failure.getCause() == null ? failure : failure.getCause();
+    return new HttpReply(HttpReply.NO_ANSWER, cause.toString());
+  }
+
+  @Override
+  public void close() {
+    factory.close();
+  }
+}
--- /dev/null
+++ b/src/main/java/org/plantainloom/transport/node/VmListDuty.java
@@ -0,0 +1,57 @@
+package org.plantainloom.transport.node;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.Consumer;
+import org.plantainloom.state.VmList;
+import org.plantainloom.state.VmListing;
+import org.plantainloom.transport.duty.Duty;
+
+/** Polls the platform's list of VMs. */
+public final class VmListDuty implements AutoCloseable {
+  private static final long POLL_MS = 1_000;
+
+  private final VmList vmList;
+  private final Duty duty;
+  private final List<Consumer<VmListing>> listeners = new CopyOnWriteArrayList<>();
+  private volatile VmListing latest = new VmListing(0, List.of());
+  private boolean polling;
+
+  /** Starts polling. */
+  public VmListDuty(VmList vmList) {
+    this.vmList = vmList;
+    this.duty = Duty.start("vm-list", POLL_MS, this::tick);
+    duty.execute(this::tick);
+  }
+
+  /** Adds a listener that is told of each listing; it is called on this duty's thread. */
+  public void listen(Consumer<VmListing> listener) {
+    listeners.add(listener);
+  }
+
+  /** Returns the newest listing. */
+  public VmListing latest() {
+    return latest;
+  }
+
+  private void tick() {
+    if (!polling) {
+      polling = true;
+      duty.take(vmList.list(), this::listed);
+    }
+  }
+
+  private void listed(Optional<VmListing> listing) {
+    polling = false;
+    if (listing.isPresent() && listing.get().asOfMs() >= latest.asOfMs()) {
+      latest = listing.get();
+      listeners.forEach(l -> l.accept(latest));
+    }
+  }
+
+  @Override
+  public void close() {
+    duty.close();
+  }
+}
--- /dev/null
+++ b/src/main/java/org/plantainloom/transport/node/package-info.java
@@ -0,0 +1,2 @@
+/** Duties of a scheduler process. */
+package org.plantainloom.transport.node;
--- /dev/null
+++ b/src/main/java/org/plantainloom/transport/platform/HttpVmList.java
@@ -0,0 +1,35 @@
+package org.plantainloom.transport.platform;
+
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.plantainloom.protocol.Json;
+import org.plantainloom.state.VmList;
+import org.plantainloom.state.VmListing;
+import org.plantainloom.transport.http.JsonClient;
+
+/** Adapter of the platform's list of VMs. */
+public final class HttpVmList implements VmList {
+  private static final long TIMEOUT_MS = 2_000;
+
+  private final JsonClient client;
+  private final String address;
+
+  /** Creates the adapter of the list at the address. */
+  public HttpVmList(JsonClient client, String address) {
+    this.client = client;
+    this.address = address;
+  }
+
+  @Override
+  public CompletableFuture<Optional<VmListing>> list() {
+    return client
+        .get(address, "/vms", TIMEOUT_MS)
+        .thenApply(
+            JsonClient.decoding(
+                reply ->
+                    reply.isSuccess()
+                        ? Optional.of(Json.read(reply.body(), VmListing.class))
+                        : Optional.<VmListing>empty(),
+                Optional.empty()));
+  }
+}
--- /dev/null
+++ b/src/main/java/org/plantainloom/transport/platform/HttpWorkerControl.java
@@ -0,0 +1,37 @@
+package org.plantainloom.transport.platform;
+
+import com.linecorp.armeria.common.HttpMethod;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.plantainloom.protocol.Json;
+import org.plantainloom.state.WorkerCommands;
+import org.plantainloom.state.WorkerControl;
+import org.plantainloom.state.WorkerInfo;
+import org.plantainloom.state.WorkerReport;
+import org.plantainloom.transport.http.JsonClient;
+
+/** Adapter of the workers' control interface. */
+public final class HttpWorkerControl implements WorkerControl {
+  private static final long TIMEOUT_MS = 1_500;
+
+  private final JsonClient client;
+
+  /** Creates the adapter. */
+  public HttpWorkerControl(JsonClient client) {
+    this.client = client;
+  }
+
+  @Override
+  public CompletableFuture<Optional<WorkerReport>> sync(
+      WorkerInfo worker, WorkerCommands commands) {
+    return client
+        .send(HttpMethod.POST, worker.address(), "/control/sync", Json.write(commands), TIMEOUT_MS)
+        .thenApply(
+            JsonClient.decoding(
+                reply ->
+                    reply.isSuccess()
+                        ? Optional.of(Json.read(reply.body(), WorkerReport.class))
+                        : Optional.<WorkerReport>empty(),
+                Optional.empty()));
+  }
+}
