--- a/src/main/java/org/plantainloom/coordination/plan/Planner.java
+++ b/src/main/java/org/plantainloom/coordination/plan/Planner.java
@@ -15,6 +15,7 @@
 import org.plantainloom.coordination.rack.CommitmentStatus;
 import org.plantainloom.coordination.rack.RackPlan;
 import org.plantainloom.coordination.rack.RackStatus;
+import org.plantainloom.coordination.timeline.DecisionEvent;
 import org.plantainloom.state.Commitment;
 import org.plantainloom.state.ConfigIndex;
 import org.plantainloom.state.EventKind;
@@ -51,7 +52,7 @@
   private final Map<TaskRef, Release> released = new HashMap<>();
   private final Map<TaskRef, String> preempted = new TreeMap<>();
   private final Set<String> reportedOnce = new HashSet<>();
-  private final List<PlanEvent> events = new ArrayList<>();
+  private final List<DecisionEvent> events = new ArrayList<>();
   private Set<TaskRef> stops = Set.of();
   private VmListing listing = new VmListing(0, List.of());
   private ConfigIndex index = ConfigIndex.empty();
@@ -273,8 +274,8 @@
   }
 
   /** Returns the events since the last call and forgets them. */
-  public List<PlanEvent> drainEvents() {
-    List<PlanEvent> drained = List.copyOf(events);
+  public List<DecisionEvent> drainEvents() {
+    List<DecisionEvent> drained = List.copyOf(events);
     events.clear();
     return drained;
   }
@@ -323,7 +324,7 @@
   }
 
   void emit(EventKind kind, Object subject, String detail) {
-    events.add(new PlanEvent(kind, subject.toString(), detail));
+    events.add(new DecisionEvent(kind, subject.toString(), detail));
   }
 
   void emitOnce(EventKind kind, Object subject, String detail) {
--- a/src/main/java/org/plantainloom/coordination/rack/LeasePolicy.java
+++ b/src/main/java/org/plantainloom/coordination/rack/LeasePolicy.java
@@ -10,6 +10,7 @@
  * @param clockSkewMs largest difference between the clocks of two machines
  * @param unreachableMs silence after which a worker's leases are no longer renewed
  * @param checkpointMs how often the latest checkpoints are persisted
+ * @param confirmMs how long an owner goes without hearing from the store of its record
  */
 public record LeasePolicy(
     long leaseMs,
@@ -18,7 +19,8 @@
     long horizonSlackMs,
     long clockSkewMs,
     long unreachableMs,
-    long checkpointMs) {
+    long checkpointMs,
+    long confirmMs) {
   private static final long LEASE_MS = 10_000;
   private static final long START_VALIDITY_MS = 1_800; // leaves 200 ms of the 2 s for clock skew
   private static final long HORIZON_MS = 900_000;
@@ -26,6 +28,7 @@
   private static final long CLOCK_SKEW_MS = 200;
   private static final long UNREACHABLE_MS = 5_000;
   private static final long CHECKPOINT_MS = 5_000;
+  private static final long CONFIRM_MS = 5_000;
 
   /** Returns the times used unless the settings say otherwise. */
   public static LeasePolicy standard() {
@@ -36,6 +39,7 @@
         HORIZON_SLACK_MS,
         CLOCK_SKEW_MS,
         UNREACHABLE_MS,
-        CHECKPOINT_MS);
+        CHECKPOINT_MS,
+        CONFIRM_MS);
   }
 }
--- a/src/main/java/org/plantainloom/coordination/rack/RackOwner.java
+++ b/src/main/java/org/plantainloom/coordination/rack/RackOwner.java
@@ -48,6 +48,7 @@
   private VmListing listing = new VmListing(0, List.of());
   private ZoneView zones = new ZoneView(0, Set.of());
   private long lastCheckpointMs;
+  private long confirmedAtMs;
   private Set<TaskRef> releasing = Set.of();
 
   /** Creates the machine; it owns nothing until the record was read or claimed. */
@@ -79,6 +80,18 @@
     return persisted.map(RackRecord::epoch).orElse(0L);
   }
 
+  /**
+   * Asks for a read of the record if it was not confirmed for a while.
+   *
+   * <p>An owner that was paused while others took the rack over would otherwise not find out as
+   * long as it has nothing to write.
+   */
+  public void confirmIfDue(long nowMs) {
+    if (owns() && nowMs - confirmedAtMs > policy.confirmMs()) {
+      needsRead = true;
+    }
+  }
+
   /** Returns whether the record has to be read before anything else can be decided. */
   public boolean needsRead() {
     return needsRead && !writeInFlight;
@@ -97,7 +110,7 @@
     if (!wasOwner) {
       forgetVolatileState(record);
     }
-    lastCheckpointMs = nowMs;
+    confirmedAtMs = nowMs;
   }
 
   /** Takes note that the rack has no record yet. */
@@ -141,6 +154,9 @@
 
   /** Takes the planner's newest plan; returns whether it was taken. */
   public boolean planReceived(RackPlan received) {
+    if (received.rackEpoch() > epoch()) {
+      needsRead = true;
+    }
     if (!owns() || received.rackEpoch() != epoch()) {
       return false;
     }
@@ -246,6 +262,7 @@
     writeInFlight = false;
     if (result instanceof WriteResult.Written written) {
       recordRead(write.next(), written.revision(), nowMs);
+      lastCheckpointMs = nowMs;
       forgetReleased();
     } else {
       needsRead = true;
--- a/src/main/java/org/plantainloom/program/load/LoadRun.java
+++ b/src/main/java/org/plantainloom/program/load/LoadRun.java
@@ -105,6 +105,7 @@
             && ledger.requestsDoubled() == 0
             && ledger.tasksFinishedTwice() == 0
             && ledger.taskOverlaps() == 0
+            && ledger.repeatedStarts() == 0
             && ledger.overcommits() == 0
             && ledger.tasksFinished() >= settings.expectedBatchTasks();
     if (!kept) {
--- a/src/main/java/org/plantainloom/program/standin/StoreStandin.java
+++ b/src/main/java/org/plantainloom/program/standin/StoreStandin.java
@@ -16,7 +16,7 @@
 import org.plantainloom.state.TimeSource;
 
 /** Key-value service in the small: compare-and-swap, leases, watches, in memory. */
-final class StoreStandin {
+public final class StoreStandin {
   private final Map<String, Versioned> entries = new TreeMap<>();
   private final Map<String, List<CompletableFuture<Void>>> watches = new HashMap<>();
   private final TimeSource time;
@@ -24,11 +24,13 @@
 
   private record Versioned(String value, long revision, long expiresMs) {}
 
-  StoreStandin(TimeSource time) {
+  /** Creates an empty store. */
+  public StoreStandin(TimeSource time) {
     this.time = time;
   }
 
-  synchronized Optional<StoreValue> read(String key) {
+  /** Returns a key's value. */
+  public synchronized Optional<StoreValue> read(String key) {
     return live(key).map(v -> new StoreValue(v.value(), v.revision()));
   }
 
@@ -41,7 +43,8 @@
     return Optional.ofNullable(found);
   }
 
-  synchronized StoreList list(String prefix) {
+  /** Returns the entries whose keys have the prefix. */
+  public synchronized StoreList list(String prefix) {
     List<StoreEntry> found = new ArrayList<>();
     for (String key : List.copyOf(entries.keySet())) {
       if (key.startsWith(prefix)) {
@@ -51,7 +54,8 @@
     return new StoreList(found);
   }
 
-  synchronized OptionalLong compareAndSwap(String key, long expected, String value) {
+  /** Writes a key if it has the expected revision; returns the new revision if it had. */
+  public synchronized OptionalLong compareAndSwap(String key, long expected, String value) {
     long current = live(key).map(Versioned::revision).orElse(KeyValueStore.ABSENT);
     if (current != expected) {
       return OptionalLong.empty();
--- a/src/main/java/org/plantainloom/program/standin/WorkerStandin.java
+++ b/src/main/java/org/plantainloom/program/standin/WorkerStandin.java
@@ -17,7 +17,7 @@
 import org.plantainloom.state.WorkloadKind;
 
 /** One worker in the small: runs tasks under leases and answers requests. */
-final class WorkerStandin {
+public final class WorkerStandin {
   private final WorkerInfo info;
   private final ExecutionLedger ledger;
   private final TimeSource time;
@@ -27,7 +27,16 @@
   private long fencingEpoch;
   private int requestsInFlight;
 
-  WorkerStandin(
+  /**
+   * Creates an idle worker.
+   *
+   * @param info what the VM list says of it
+   * @param ledger counts what really runs
+   * @param time the worker's clock
+   * @param runTimeLies true run times are up to this many times the declared ones, or that part
+   * @param seed seed of its random choices
+   */
+  public WorkerStandin(
       WorkerInfo info, ExecutionLedger ledger, TimeSource time, double runTimeLies, long seed) {
     this.info = info;
     this.ledger = ledger;
@@ -36,12 +45,13 @@
     this.random = RandomSource.SPLIT_MIX_64.create(seed);
   }
 
-  WorkerInfo info() {
+  /** Returns what the VM list says of the worker. */
+  public WorkerInfo info() {
     return info;
   }
 
   /** Takes a control message and reports; refuses former owners and messages to another VM. */
-  synchronized WorkerReport sync(WorkerCommands commands) {
+  public synchronized WorkerReport sync(WorkerCommands commands) {
     advance();
     boolean accepted =
         commands.rackEpoch() >= fencingEpoch && commands.generation() == info.generation();
@@ -127,8 +137,28 @@
     }
   }
 
+  /** Ends all tasks at once, as when the VM is lost. */
+  public synchronized void destroy() {
+    advance();
+    tasks.values().stream()
+        .filter(RunningTask::isLive)
+        .forEach(t -> ledger.taskEnded(t.ref(), false));
+    tasks.clear();
+  }
+
+  /** Returns the worker's generation, fencing epoch and tasks, for people to read. */
+  public synchronized String describe() {
+    return info.id()
+        + " generation "
+        + info.generation()
+        + " fencing epoch "
+        + fencingEpoch
+        + " "
+        + tasks.values().stream().map(RunningTask::report).toList();
+  }
+
   /** Moves all tasks on to now. */
-  synchronized void advance() {
+  public synchronized void advance() {
     for (RunningTask task : tasks.values()) {
       boolean wasLive = task.isLive();
       ledger.worked(task.advance(time.nowMs()));
--- a/src/main/java/org/plantainloom/protocol/Json.java
+++ b/src/main/java/org/plantainloom/protocol/Json.java
@@ -6,6 +6,7 @@
 import com.fasterxml.jackson.databind.DeserializationContext;
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.KeyDeserializer;
+import com.fasterxml.jackson.databind.MapperFeature;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.SerializerProvider;
 import com.fasterxml.jackson.databind.deser.std.FromStringDeserializer;
@@ -31,6 +32,7 @@
           .addModule(new Jdk8Module())
           .addModule(names())
           .disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
+          .disable(MapperFeature.AUTO_DETECT_IS_GETTERS)
           .serializationInclusion(JsonInclude.Include.NON_ABSENT)
           .build();
 
--- a/src/main/java/org/plantainloom/protocol/message/LedgerSummary.java
+++ b/src/main/java/org/plantainloom/protocol/message/LedgerSummary.java
@@ -9,6 +9,7 @@
  * @param tasksFinished different tasks that finished
  * @param tasksFinishedTwice tasks that finished more than once
  * @param taskOverlaps times that a task ran in two places at once
+ * @param repeatedStarts times that the same incarnation started again
  * @param overcommits times that a worker held more than its capacity
  * @param workMs batch work done, in milliseconds
  */
@@ -19,5 +20,6 @@
     int tasksFinished,
     int tasksFinishedTwice,
     int taskOverlaps,
+    int repeatedStarts,
     int overcommits,
     long workMs) {}
--- a/src/main/java/org/plantainloom/transport/node/MembershipDuty.java
+++ b/src/main/java/org/plantainloom/transport/node/MembershipDuty.java
@@ -7,7 +7,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.function.Consumer;
 import org.plantainloom.coordination.membership.MembershipView;
-import org.plantainloom.coordination.membership.RackAssignment;
+import org.plantainloom.coordination.membership.PlannerElection;
 import org.plantainloom.protocol.Json;
 import org.plantainloom.state.EventKind;
 import org.plantainloom.state.KeyValueStore;
@@ -29,7 +29,6 @@
 public final class MembershipDuty implements AutoCloseable {
   private static final long HEARTBEAT_MS = 1_000;
   private static final long MEMBER_TTL_MS = 3_500;
-  private static final String PLANNER_ROLE = "planner";
 
   private final ProcessContext process;
   private final KeyValueStore store;
@@ -61,6 +60,11 @@
     return membership;
   }
 
+  /** Returns the name of this process. */
+  public MemberId self() {
+    return self.id();
+  }
+
   /** Announces that this process takes on nothing new. */
   public void leave() {
     duty.execute(
@@ -121,18 +125,9 @@
   }
 
   private void settlePlanner(Optional<PlannerRecord> planner, long revision) {
-    MembershipView view = membership.view();
-    Optional<MemberId> preferred = RackAssignment.preferred(PLANNER_ROLE, view.schedulers());
-    if (preferred.isEmpty() || electing) {
-      return;
-    }
-    boolean held = planner.filter(p -> view.isAlive(p.owner())).isPresent();
-    boolean mine = planner.filter(p -> p.owner().equals(self.id())).isPresent();
-    boolean take = !held && preferred.get().equals(self.id());
-    boolean handOver = mine && self.leaving();
-    if (take || handOver) {
-      long epoch = planner.map(PlannerRecord::epoch).orElse(0L) + 1;
-      elect(new PlannerRecord(preferred.get(), epoch), revision);
+    if (!electing) {
+      PlannerElection.next(self.id(), self.leaving(), membership.view(), planner)
+          .ifPresent(next -> elect(next, revision));
     }
   }
 
--- a/src/main/java/org/plantainloom/transport/node/SchedulerDuties.java
+++ b/src/main/java/org/plantainloom/transport/node/SchedulerDuties.java
@@ -2,6 +2,7 @@
 
 import org.plantainloom.coordination.plan.PlannerPolicy;
 import org.plantainloom.coordination.rack.LeasePolicy;
+import org.plantainloom.coordination.rack.RackKeeper;
 import org.plantainloom.state.KeyValueStore;
 import org.plantainloom.state.MemberRecord;
 import org.plantainloom.state.TimeSource;
@@ -39,7 +40,8 @@
       MemberRecord self) {
     ConfigDuty config = new ConfigDuty(process, store);
     RackDuty racks =
-        new RackDuty(process, store, workers, self.id(), LeasePolicy.standard(), config);
+        new RackDuty(
+            process, store, workers, new RackKeeper(self.id(), LeasePolicy.standard()), config);
     PlannerDuty planner =
         new PlannerDuty(process, store, client, self.id(), PlannerPolicy.standard());
     VmListDuty vmList = new VmListDuty(platformVms);
--- /dev/null
+++ b/src/test/java/org/plantainloom/LayerRulesTest.java
@@ -0,0 +1,66 @@
+package org.plantainloom;
+
+import static com.tngtech.archunit.library.Architectures.layeredArchitecture;
+
+import com.tngtech.archunit.core.domain.JavaClasses;
+import com.tngtech.archunit.core.importer.ClassFileImporter;
+import com.tngtech.archunit.core.importer.ImportOption;
+import com.tngtech.archunit.lang.syntax.ArchRuleDefinition;
+import org.testng.annotations.Test;
+
+/** Checks the direction of the layers: program, transport, protocol, coordination, state. */
+public class LayerRulesTest {
+  private static final JavaClasses MAIN =
+      new ClassFileImporter()
+          .withImportOption(new ImportOption.DoNotIncludeTests())
+          .importPackages("org.plantainloom");
+
+  @Test
+  public void should_depend_only_on_lower_layers() {
+    layeredArchitecture()
+        .consideringOnlyDependenciesInLayers()
+        .layer("program")
+        .definedBy("org.plantainloom.program..")
+        .layer("transport")
+        .definedBy("org.plantainloom.transport..")
+        .layer("protocol")
+        .definedBy("org.plantainloom.protocol..")
+        .layer("coordination")
+        .definedBy("org.plantainloom.coordination..")
+        .layer("state")
+        .definedBy("org.plantainloom.state..")
+        .whereLayer("program")
+        .mayNotBeAccessedByAnyLayer()
+        .whereLayer("transport")
+        .mayOnlyBeAccessedByLayers("program")
+        .whereLayer("protocol")
+        .mayOnlyBeAccessedByLayers("program", "transport")
+        .whereLayer("coordination")
+        .mayOnlyBeAccessedByLayers("program", "transport", "protocol")
+        .check(MAIN);
+  }
+
+  @Test
+  public void should_keep_io_threads_and_wall_clock_out_of_decisions() {
+    ArchRuleDefinition.noClasses()
+        .that()
+        .resideInAnyPackage("org.plantainloom.coordination..", "org.plantainloom.state..")
+        .should()
+        .dependOnClassesThat()
+        .resideInAnyPackage(
+            "com.linecorp.armeria..",
+            "java.net..",
+            "java.nio.file..",
+            "java.nio.channels..",
+            "java.io..",
+            "com.fasterxml..")
+        .orShould()
+        .callMethod(System.class, "currentTimeMillis")
+        .orShould()
+        .callMethod(System.class, "nanoTime")
+        .orShould()
+        .dependOnClassesThat()
+        .areAssignableTo(Thread.class)
+        .check(MAIN);
+  }
+}
--- /dev/null
+++ b/src/test/java/org/plantainloom/coordination/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the decisions. */
+package org.plantainloom.coordination;
--- /dev/null
+++ b/src/test/java/org/plantainloom/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of rules over the whole code base. */
+package org.plantainloom;
--- /dev/null
+++ b/src/test/java/org/plantainloom/protocol/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of messages and documents. */
+package org.plantainloom.protocol;
--- /dev/null
+++ b/src/test/java/org/plantainloom/transport/GatewayOutcomeTest.java
@@ -0,0 +1,98 @@
+package org.plantainloom.transport;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.linecorp.armeria.common.AggregatedHttpResponse;
+import com.linecorp.armeria.common.HttpMethod;
+import com.linecorp.armeria.common.HttpStatus;
+import org.plantainloom.protocol.Headers;
+import org.plantainloom.support.GatewayFixture;
+import org.plantainloom.support.ScriptedUpstream;
+import org.plantainloom.support.ScriptedUpstream.Script;
+import org.plantainloom.transport.gateway.GatewayService;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** What callers are told, and how often a request runs, for each fault of an upstream. */
+public class GatewayOutcomeTest {
+  private static final String SHORT_DEADLINE_MS = "400";
+
+  /** Rows of the table in docs/operators/gateway.md: fault, idempotent, told, runs at most. */
+  @DataProvider
+  public static Object[][] faults() {
+    return new Object[][] {
+      {Script.ANSWER, false, "answered", 1},
+      {Script.ANSWER, true, "answered", 1},
+      {Script.REFUSE, false, "not-run", 0},
+      {Script.REFUSE, true, "not-run", 0},
+      {Script.RUN_AND_CLOSE, false, "unknown", 1},
+      {Script.RUN_AND_CLOSE, true, "unknown", 2},
+      {Script.TRUNCATE, false, "unknown", 1},
+      {Script.TRUNCATE, true, "unknown", 2},
+      {Script.CROSS, false, "unknown", 1},
+      {Script.CROSS, true, "unknown", 2},
+      {Script.SILENCE, false, "unknown", 0},
+    };
+  }
+
+  @Test(dataProvider = "faults")
+  public void should_tell_the_truth_about_what_ran(
+      Script script, boolean idempotent, String told, int mostRuns) throws Exception {
+    // given: two replicas with the same fault
+    try (ScriptedUpstream first = ScriptedUpstream.start(script);
+        ScriptedUpstream second = ScriptedUpstream.start(script);
+        GatewayFixture gateway = GatewayFixture.start(first.address(), second.address())) {
+      // when
+      AggregatedHttpResponse answer =
+          gateway.send(idempotent ? HttpMethod.GET : HttpMethod.POST, SHORT_DEADLINE_MS);
+      // then
+      assertThat(answer.headers().get(Headers.OUTCOME)).isEqualTo(told);
+      assertThat(first.executions() + second.executions()).isLessThanOrEqualTo(mostRuns);
+      assertThat(answer.headers().get(Headers.REQUEST_ID)).isEqualTo("request-1");
+    }
+  }
+
+  /** Faults of single replicas. */
+  public static class OneBadReplica {
+    @Test
+    public void should_try_another_replica_when_one_refuses_connections() throws Exception {
+      // given
+      ScriptedUpstream gone = ScriptedUpstream.start(Script.ANSWER);
+      gone.close();
+      try (ScriptedUpstream good = ScriptedUpstream.start(Script.ANSWER);
+          GatewayFixture gateway = GatewayFixture.start(gone.address(), good.address())) {
+        for (int i = 0; i < 8; i++) {
+          // when
+          AggregatedHttpResponse answer = gateway.send(HttpMethod.POST, "5000");
+          // then
+          assertThat(answer.contentUtf8()).isEqualTo("done");
+        }
+        assertThat(good.executions()).isEqualTo(8);
+      }
+    }
+
+    @Test
+    public void should_refuse_as_not_run_when_the_service_is_unknown() throws Exception {
+      try (GatewayFixture gateway = GatewayFixture.start()) {
+        // when
+        AggregatedHttpResponse answer = gateway.send(HttpMethod.POST, "5000");
+        // then
+        assertThat(answer.status()).isEqualTo(HttpStatus.SERVICE_UNAVAILABLE);
+        assertThat(answer.contentUtf8()).contains("\"reason\":\"no-replica\"");
+      }
+    }
+
+    @Test
+    public void should_refuse_a_body_beyond_the_bound() throws Exception {
+      try (ScriptedUpstream good = ScriptedUpstream.start(Script.ANSWER);
+          GatewayFixture gateway = GatewayFixture.start(good.address())) {
+        // when
+        AggregatedHttpResponse answer =
+            gateway.send(new byte[(int) GatewayService.MAX_REQUEST_BYTES + 1]);
+        // then
+        assertThat(answer.status()).isEqualTo(HttpStatus.REQUEST_ENTITY_TOO_LARGE);
+        assertThat(good.requests()).isZero();
+      }
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/org/plantainloom/transport/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of servers, clients and their meaning under faults. */
+package org.plantainloom.transport;
