Tell the planner only what changed; queue sessions; measuring command

Cause: bin/measure-slopes, new here, showed the exchange between planner and rack owners growing with fleet size times changes: owners told the whole status of their racks three times a second and after each write, and worked out messages and records every 50 ms though nothing had arrived. Ruled out: worker heartbeats (their part stays as it is). Change: versions and changes of a rack's status; no work while nothing has arrived.

Re-run: bin/measure-slopes; mvn -B verify

--- /dev/null
+++ b/src/main/java/org/plantainloom/coordination/plan/PlanBuilder.java
@@ -0,0 +1,118 @@
+package org.plantainloom.coordination.plan;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import org.plantainloom.coordination.rack.Binding;
+import org.plantainloom.coordination.rack.CommitmentStatus;
+import org.plantainloom.coordination.rack.RackPlan;
+import org.plantainloom.coordination.rack.RackStatus;
+import org.plantainloom.state.RackId;
+import org.plantainloom.state.Release;
+import org.plantainloom.state.ResourceVector;
+import org.plantainloom.state.TaskLaunch;
+import org.plantainloom.state.TaskPhase;
+import org.plantainloom.state.TaskRecord;
+import org.plantainloom.state.TaskRef;
+import org.plantainloom.state.TeamId;
+import org.plantainloom.state.WorkloadKind;
+
+/** Derives from the persisted documents what is wanted of each rack, in one pass over all tasks. */
+final class PlanBuilder {
+  private static final TaskLaunch NOTHING =
+      new TaskLaunch(WorkloadKind.BATCH, ResourceVector.ZERO, 0, 0);
+
+  private final Planner planner;
+  private final Map<RackId, Wanted> wanted = new TreeMap<>();
+  private final Set<TaskRef> bound = new HashSet<>();
+  private final Set<TeamId> loaded = new HashSet<>();
+
+  private static final class Wanted {
+    private final List<Binding> bindings = new ArrayList<>();
+    private final List<TaskRef> stops = new ArrayList<>();
+    private final List<TaskRef> acknowledged = new ArrayList<>();
+  }
+
+  PlanBuilder(Planner planner) {
+    this.planner = planner;
+  }
+
+  /** Returns the plans of the racks of which something is wanted. */
+  List<RackPlan> build(Collection<RackId> racks) {
+    racks.forEach(r -> wanted.put(r, new Wanted()));
+    planner.queues().forEach(this::addTasks);
+    for (RackId rack : wanted.keySet()) {
+      planner.status(rack).ifPresent(this::addFromStatus);
+    }
+    List<RackPlan> plans = new ArrayList<>();
+    wanted.forEach((rack, w) -> planOf(rack, w).ifPresent(plans::add));
+    return plans;
+  }
+
+  private void addTasks(TeamQueue queue) {
+    if (!queue.isLoaded()) {
+      return;
+    }
+    loaded.add(queue.team());
+    for (TaskRecord task : queue.persisted().tasks()) {
+      if (task.phase() == TaskPhase.BOUND) {
+        bound.add(task.ref());
+        addBinding(queue, task);
+      }
+    }
+  }
+
+  private void addBinding(TeamQueue queue, TaskRecord task) {
+    Wanted here = wanted.get(task.rack().orElseThrow());
+    boolean settled =
+        planner.commitment(task.ref()).isPresent() || planner.release(task.ref()).isPresent();
+    if (here == null || settled) {
+      return;
+    }
+    TaskLaunch launch = queue.launchOf(task.id()).orElse(NOTHING);
+    here.bindings.add(
+        new Binding(task.ref(), task.worker().orElseThrow(), launch, task.checkpoint()));
+    if (planner.stops().contains(task.ref())) {
+      here.stops.add(task.ref());
+    }
+  }
+
+  private void addFromStatus(RackStatus status) {
+    Wanted here = wanted.get(status.rack());
+    for (CommitmentStatus line : status.commitments()) {
+      TaskRef ref = line.commitment().ref();
+      if (planner.stops().contains(ref)) {
+        here.stops.add(ref);
+      }
+    }
+    // A release may be dropped only after the team's document has moved past it.
+    for (Release release : status.releases()) {
+      boolean movedOn =
+          loaded.contains(release.ref().task().team()) && !bound.contains(release.ref());
+      if (movedOn) {
+        here.acknowledged.add(release.ref());
+      }
+    }
+  }
+
+  private Optional<RackPlan> planOf(RackId rack, Wanted here) {
+    return planner
+        .status(rack)
+        .map(
+            status ->
+                new RackPlan(
+                    rack,
+                    planner.epoch(),
+                    status.rackEpoch(),
+                    planner.nextSequence(),
+                    here.bindings,
+                    here.stops,
+                    here.acknowledged))
+        .filter(p -> !p.isEmpty());
+  }
+}
--- a/src/main/java/org/plantainloom/coordination/plan/Planner.java
+++ b/src/main/java/org/plantainloom/coordination/plan/Planner.java
@@ -11,8 +11,8 @@
 import java.util.Set;
 import java.util.SortedMap;
 import java.util.TreeMap;
-import org.plantainloom.coordination.rack.Binding;
 import org.plantainloom.coordination.rack.CommitmentStatus;
+import org.plantainloom.coordination.rack.KnownStatus;
 import org.plantainloom.coordination.rack.RackPlan;
 import org.plantainloom.coordination.rack.RackStatus;
 import org.plantainloom.coordination.timeline.DecisionEvent;
@@ -22,12 +22,7 @@
 import org.plantainloom.state.JobsDocument;
 import org.plantainloom.state.RackId;
 import org.plantainloom.state.Release;
-import org.plantainloom.state.ResourceVector;
 import org.plantainloom.state.RunState;
-import org.plantainloom.state.TaskId;
-import org.plantainloom.state.TaskLaunch;
-import org.plantainloom.state.TaskPhase;
-import org.plantainloom.state.TaskRecord;
 import org.plantainloom.state.TaskRef;
 import org.plantainloom.state.TasksDocument;
 import org.plantainloom.state.TeamConfig;
@@ -123,21 +118,31 @@
     }
   }
 
-  /** Takes what a rack's owner says; a former owner's word is ignored. */
-  public void statusSeen(RackStatus status) {
-    RackStatus known = statuses.get(status.rack());
-    if (known != null && known.rackEpoch() > status.rackEpoch()) {
+  /** Takes what a rack's owner says; what does not build on what is known is ignored. */
+  public void statusSeen(RackStatus news) {
+    RackStatus known = statuses.get(news.rack());
+    if (!news.follows(known == null ? KnownStatus.NOTHING : known.known())) {
       return;
     }
     if (known != null) {
       known.commitments().forEach(c -> committed.remove(c.commitment().ref()));
       known.releases().forEach(r -> released.remove(r.ref()));
     }
+    RackStatus status = known == null ? news : news.appliedTo(known);
     statuses.put(status.rack(), status);
     status.commitments().forEach(c -> committed.put(c.commitment().ref(), c));
     status.releases().forEach(r -> released.put(r.ref(), r));
   }
 
+  /** Returns how much is known of racks, for their owner to tell only what is new. */
+  public Map<RackId, KnownStatus> knownOf(Collection<RackId> racks) {
+    Map<RackId, KnownStatus> known = new TreeMap<>();
+    for (RackId rack : racks) {
+      status(rack).ifPresent(s -> known.put(rack, s.known()));
+    }
+    return known;
+  }
+
   /** Plans one round and returns the documents to persist. */
   public List<TasksWrite> nextWrites(long nowMs) {
     PlanRound round = new PlanRound(this, nowMs);
@@ -151,86 +156,9 @@
     queue(write.team()).writeSettled(write, result);
   }
 
-  /** Returns what is wanted of a rack, or empty if its owner has not been heard of. */
-  public Optional<RackPlan> planFor(RackId rack) {
-    RackStatus status = statuses.get(rack);
-    if (status == null) {
-      return Optional.empty();
-    }
-    sequence++;
-    return Optional.of(
-        new RackPlan(
-            rack,
-            epoch,
-            status.rackEpoch(),
-            sequence,
-            bindingsFor(rack),
-            stopsFor(status),
-            acknowledgedBy(status)));
-  }
-
-  private List<Binding> bindingsFor(RackId rack) {
-    List<Binding> bindings = new ArrayList<>();
-    for (TeamQueue queue : queues.values()) {
-      for (TaskRecord task : queue.isLoaded() ? queue.persisted().tasks() : List.<TaskRecord>of()) {
-        boolean bound = task.phase() == TaskPhase.BOUND && task.rack().equals(Optional.of(rack));
-        if (bound && !committed.containsKey(task.ref()) && !released.containsKey(task.ref())) {
-          bindings.add(bindingOf(queue, task));
-        }
-      }
-    }
-    return bindings;
-  }
-
-  private static final TaskLaunch NOTHING =
-      new TaskLaunch(WorkloadKind.BATCH, ResourceVector.ZERO, 0, 0);
-
-  private static Binding bindingOf(TeamQueue queue, TaskRecord task) {
-    TaskLaunch launch = queue.launchOf(task.id()).orElse(NOTHING);
-    return new Binding(task.ref(), task.worker().orElseThrow(), launch, task.checkpoint());
-  }
-
-  private List<TaskRef> stopsFor(RackStatus status) {
-    List<TaskRef> wanted = new ArrayList<>();
-    for (TaskRef ref : stops) {
-      boolean here =
-          status.commitments().stream().anyMatch(c -> c.commitment().ref().equals(ref))
-              || boundRack(ref).equals(Optional.of(status.rack()));
-      if (here) {
-        wanted.add(ref);
-      }
-    }
-    return wanted;
-  }
-
-  private Optional<RackId> boundRack(TaskRef ref) {
-    return taskOf(ref.task())
-        .filter(t -> t.incarnation() == ref.incarnation())
-        .flatMap(TaskRecord::rack);
-  }
-
-  private Optional<TaskRecord> taskOf(TaskId id) {
-    TeamQueue queue = queues.get(id.team());
-    return queue == null
-        ? Optional.empty()
-        : queue.persisted().tasks().stream().filter(t -> t.id().equals(id)).findFirst();
-  }
-
-  // A release may be dropped only after the team's document has moved past it.
-  private List<TaskRef> acknowledgedBy(RackStatus status) {
-    List<TaskRef> acknowledged = new ArrayList<>();
-    for (Release release : status.releases()) {
-      TeamQueue queue = queues.get(release.ref().task().team());
-      if (queue != null && queue.isLoaded() && !isBound(queue, release.ref())) {
-        acknowledged.add(release.ref());
-      }
-    }
-    return acknowledged;
-  }
-
-  private static boolean isBound(TeamQueue queue, TaskRef ref) {
-    return queue.persisted().tasks().stream()
-        .anyMatch(t -> t.phase() == TaskPhase.BOUND && t.ref().equals(ref));
+  /** Returns what is wanted of racks; racks of which nothing is wanted are left out. */
+  public List<RackPlan> plansFor(Collection<RackId> racks) {
+    return new PlanBuilder(this).build(racks);
   }
 
   /** Returns the replicas that take requests now; the version grows when they change. */
@@ -307,6 +235,18 @@
     return listing;
   }
 
+  Optional<RackStatus> status(RackId rack) {
+    return Optional.ofNullable(statuses.get(rack));
+  }
+
+  Set<TaskRef> stops() {
+    return stops;
+  }
+
+  long nextSequence() {
+    return ++sequence;
+  }
+
   Collection<RackStatus> statuses() {
     return statuses.values();
   }
--- a/src/main/java/org/plantainloom/coordination/plan/TeamDraft.java
+++ b/src/main/java/org/plantainloom/coordination/plan/TeamDraft.java
@@ -120,6 +120,8 @@
       }
     }
     dropUndeclared();
+    // The administration API drops complete jobs from its document; their progress goes with them.
+    jobs.values().removeIf(j -> j.complete() && queue.jobs().job(j.job()).isEmpty());
   }
 
   private void createJob(JobSpec spec) {
--- a/src/main/java/org/plantainloom/coordination/rack/CommitmentStatus.java
+++ b/src/main/java/org/plantainloom/coordination/rack/CommitmentStatus.java
@@ -9,6 +9,12 @@
  *
  * @param commitment the persisted commitment
  * @param state what its worker last said; empty while it is not started
- * @param cpuMillis processor use last reported, in thousandths of a core
  */
-public record CommitmentStatus(Commitment commitment, Optional<RunState> state, int cpuMillis) {}
+public record CommitmentStatus(Commitment commitment, Optional<RunState> state) {
+  // Checkpoints move all the time and decide nothing in the queue, so they alone are no change.
+  boolean differsFrom(CommitmentStatus other) {
+    return other == null
+        || !state.equals(other.state)
+        || !commitment.withCheckpoint(0).equals(other.commitment.withCheckpoint(0));
+  }
+}
--- a/src/main/java/org/plantainloom/coordination/rack/RackKeeper.java
+++ b/src/main/java/org/plantainloom/coordination/rack/RackKeeper.java
@@ -91,14 +91,21 @@
     Optional.ofNullable(owners.get(plan.rack())).ifPresent(o -> o.planReceived(plan));
   }
 
-  /** Returns the status of all racks owned. */
-  public List<RackStatus> statuses(long nowMs) {
-    return owners.values().stream().filter(RackOwner::owns).map(o -> o.status(nowMs)).toList();
+  /** Returns the status of all racks owned, as far as it is new to a planner that knows so much. */
+  public List<RackStatus> statusesSince(Map<RackId, KnownStatus> known, long nowMs) {
+    List<RackStatus> news = new ArrayList<>();
+    for (RackOwner owner : owners.values()) {
+      if (owner.owns()) {
+        KnownStatus knownHere = known.getOrDefault(owner.rack(), KnownStatus.NOTHING);
+        owner.statusSince(knownHere, nowMs).ifPresent(news::add);
+      }
+    }
+    return news;
   }
 
-  /** Returns how many racks are owned. */
-  public int owned() {
-    return (int) owners.values().stream().filter(RackOwner::owns).count();
+  /** Returns the racks owned. */
+  public List<RackId> owned() {
+    return owners.values().stream().filter(RackOwner::owns).map(RackOwner::rack).toList();
   }
 
   private void assign() {
@@ -190,11 +197,11 @@
 
   private Optional<RackAction> sync(RackOwner owner, WorkerInfo worker, long nowMs) {
     WorkerPace pace = paces.computeIfAbsent(worker.id(), w -> new WorkerPace());
-    if (!pace.mayAsk(nowMs)) {
+    if (!pace.mayAsk(owner.stirs(), nowMs)) {
       return Optional.empty();
     }
     WorkerCommands commands = owner.commandsFor(worker, nowMs);
-    if (!pace.isDue(commands, nowMs)) {
+    if (!pace.isDue(commands, owner.stirs(), nowMs)) {
       return Optional.empty();
     }
     pace.sent(nowMs);
--- a/src/main/java/org/plantainloom/coordination/rack/RackOwner.java
+++ b/src/main/java/org/plantainloom/coordination/rack/RackOwner.java
@@ -32,6 +32,9 @@
  * derived from the persisted record only, so nothing starts that is not committed.
  */
 public final class RackOwner {
+  // Leases and silences end by time alone, without anything arriving.
+  private static final long RECONCILE_MS = 500;
+
   private final RackId rack;
   private final MemberId self;
   private final LeasePolicy policy;
@@ -39,6 +42,7 @@
   private final Map<TaskRef, Integer> throttles = new TreeMap<>();
   private final LeaseLedger leases;
   private final ReleaseRule releaseRule;
+  private final StatusPublisher publisher = new StatusPublisher();
 
   private Optional<RackRecord> persisted = Optional.empty();
   private long revision;
@@ -48,6 +52,9 @@
   private VmListing listing = new VmListing(0, List.of());
   private ZoneView zones = new ZoneView(0, Set.of());
   private long lastCheckpointMs;
+  private long stirs;
+  private long reconciledStirs = -1;
+  private long reconciledAtMs;
   private long confirmedAtMs;
   private Set<TaskRef> releasing = Set.of();
 
@@ -107,6 +114,7 @@
     revision = newRevision;
     needsRead = false;
     releasing = Set.of();
+    stirs++;
     if (!wasOwner) {
       forgetVolatileState(record);
     }
@@ -125,6 +133,7 @@
     watches.clear();
     throttles.clear();
     leases.reset(record);
+    publisher.reset();
   }
 
   /** Returns the record that makes this scheduler the owner, to be written next. */
@@ -176,12 +185,14 @@
       return false;
     }
     plan = Optional.of(received);
+    stirs++;
     return true;
   }
 
   /** Takes a worker's report. */
   public void reportReceived(WorkerReport report, long nowMs) {
     watch(report.worker(), nowMs).reported(report, epoch(), nowMs);
+    stirs++;
     if (report.fencingEpoch() > epoch()) {
       needsRead = true;
     }
@@ -208,6 +219,7 @@
   public void zonesSeen(ZoneView newZones) {
     if (newZones.asOfMs() >= zones.asOfMs()) {
       zones = newZones;
+      stirs++;
     }
   }
 
@@ -234,11 +246,19 @@
         .anyMatch(c -> reportOf(c).isEmpty() && !isStopRequested(c.ref()));
   }
 
+  /** Returns a number that grows whenever something arrives that may call for a message. */
+  long stirs() {
+    return stirs;
+  }
+
   /** Returns the next record to persist, if it differs from the persisted one. */
   public Optional<RackWrite> nextWrite(long nowMs) {
-    if (!owns() || !isIdle()) {
+    boolean quiet = stirs == reconciledStirs && nowMs - reconciledAtMs < RECONCILE_MS;
+    if (!owns() || !isIdle() || quiet) {
       return Optional.empty();
     }
+    reconciledStirs = stirs;
+    reconciledAtMs = nowMs;
     RackRecord current = persisted.orElseThrow();
     RackRecord next = new RackReconciler(this, current, nowMs).next();
     return next.equals(current) ? Optional.empty() : Optional.of(startWrite(next));
@@ -288,17 +308,13 @@
     commands.renewals().forEach(ref -> leases.granted(ref, commands.leaseUntilMs()));
   }
 
-  /** Returns what to tell the planner. */
-  public RackStatus status(long nowMs) {
+  /** Returns what is new to a planner that knows that much; empty if nothing is. */
+  public Optional<RackStatus> statusSince(KnownStatus known, long nowMs) {
     RackRecord record = persisted.orElseThrow();
     List<CommitmentStatus> commitments = new ArrayList<>();
     for (Commitment commitment : record.commitments()) {
-      Optional<TaskReport> report = reportOf(commitment);
       commitments.add(
-          new CommitmentStatus(
-              commitment,
-              report.map(TaskReport::state),
-              report.map(TaskReport::cpuMillis).orElse(0)));
+          new CommitmentStatus(commitment, reportOf(commitment).map(TaskReport::state)));
     }
     List<WorkerId> unreachable =
         watches.entrySet().stream()
@@ -306,7 +322,8 @@
             .map(Map.Entry::getKey)
             .sorted()
             .toList();
-    return new RackStatus(rack, record.epoch(), commitments, record.releases(), unreachable);
+    publisher.update(commitments, record.releases(), unreachable);
+    return publisher.since(rack, record.epoch(), known);
   }
 
   // The remaining methods are the view that the reconciler and the command builder work on.
--- a/src/main/java/org/plantainloom/coordination/rack/WorkerPace.java
+++ b/src/main/java/org/plantainloom/coordination/rack/WorkerPace.java
@@ -10,13 +10,22 @@
   private boolean inFlight;
   private boolean unreachable;
   private long lastSentMs;
+  private long knownStirs = -1;
 
-  boolean mayAsk(long nowMs) {
-    return !inFlight && nowMs - lastSentMs >= PRESSING_GAP_MS;
+  /** Returns whether it is worth working out what to tell the worker. */
+  boolean mayAsk(long stirs, long nowMs) {
+    boolean rested = !inFlight && nowMs - lastSentMs >= PRESSING_GAP_MS;
+    return rested && (stirs != knownStirs || isHeartbeatDue(nowMs));
   }
 
-  boolean isDue(WorkerCommands commands, long nowMs) {
-    return commands.isPressing() || nowMs - lastSentMs >= HEARTBEAT_MS;
+  /** Returns whether the message has to go out now; called once it is worked out. */
+  boolean isDue(WorkerCommands commands, long stirs, long nowMs) {
+    knownStirs = stirs;
+    return commands.isPressing() || isHeartbeatDue(nowMs);
+  }
+
+  private boolean isHeartbeatDue(long nowMs) {
+    return nowMs - lastSentMs >= HEARTBEAT_MS;
   }
 
   void sent(long nowMs) {
@@ -27,6 +36,7 @@
   /** Takes note of an answer or its absence; returns whether reachability changed. */
   boolean answered(boolean reachable) {
     inFlight = false;
+    knownStirs = -1;
     boolean changed = unreachable == reachable;
     unreachable = !reachable;
     return changed;
--- /dev/null
+++ b/src/main/java/org/plantainloom/program/experiment/ExperimentMain.java
@@ -0,0 +1,30 @@
+package org.plantainloom.program.experiment;
+
+import org.plantainloom.coordination.plan.PlacementPolicy;
+import org.plantainloom.program.ExitCode;
+import org.plantainloom.program.LogLevel;
+import org.plantainloom.program.Program;
+
+/** Entry point of {@code plantainloom-experiment}: compares placement policies. */
+public final class ExperimentMain {
+  private ExperimentMain() {}
+
+  /** Runs every policy on the same arrivals and prints a table. */
+  public static void main(String[] args) {
+    Program.named("plantainloom-experiment")
+        .run(args, ExperimentSettings::read, ExperimentMain::compare);
+  }
+
+  private static ExitCode compare(ExperimentSettings settings) {
+    LogLevel.ERROR.apply();
+    System.out.println(PlacementResult.header());
+    for (int workers : settings.sizes()) {
+      for (PlacementPolicy policy : PlacementPolicy.values()) {
+        PlacementResult result =
+            new PlacementExperiment(policy, workers, settings.seed()).run(settings.seconds());
+        System.out.println(result.line());
+      }
+    }
+    return ExitCode.OK;
+  }
+}
--- a/src/main/java/org/plantainloom/program/gateway/GatewayProcess.java
+++ b/src/main/java/org/plantainloom/program/gateway/GatewayProcess.java
@@ -39,7 +39,7 @@
   private GatewayProcess(GatewaySettings settings) throws IOException {
     CommonSettings common = settings.common();
     this.process = ProcessContext.create(common.name());
-    this.client = JsonClient.create(process.clock());
+    this.client = JsonClient.create(process.clock(), process.metrics());
     long seed = common.name().hashCode() * 31L + process.nowMs();
     Router router = new Router(settings.zone(), settings.region(), settings.limits(), seed);
     this.server =
--- a/src/main/java/org/plantainloom/program/load/LoadRun.java
+++ b/src/main/java/org/plantainloom/program/load/LoadRun.java
@@ -1,5 +1,6 @@
 package org.plantainloom.program.load;
 
+import com.codahale.metrics.MetricRegistry;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
@@ -39,7 +40,7 @@
     HybridClock clock = new HybridClock(System::currentTimeMillis);
     ScheduledExecutorService timer =
         Executors.newSingleThreadScheduledExecutor(r -> new Thread(r, "callers"));
-    try (JsonClient client = JsonClient.create(clock);
+    try (JsonClient client = JsonClient.create(clock, new MetricRegistry());
         UpstreamClient callers = new UpstreamClient();
         ReadyGateways gateways = new ReadyGateways(settings.gateways(), client)) {
       sendAll(new Caller(settings, gateways, callers, tally, timer), timer);
--- a/src/main/java/org/plantainloom/program/operator/OperatorSession.java
+++ b/src/main/java/org/plantainloom/program/operator/OperatorSession.java
@@ -1,5 +1,6 @@
 package org.plantainloom.program.operator;
 
+import com.codahale.metrics.MetricRegistry;
 import com.linecorp.armeria.common.HttpHeaderNames;
 import com.linecorp.armeria.common.HttpMethod;
 import com.linecorp.armeria.common.RequestHeaders;
@@ -28,7 +29,8 @@
   private OperatorSession(OperatorSettings settings, CommandLine line) {
     this.settings = settings;
     this.line = line;
-    this.client = JsonClient.create(new HybridClock(System::currentTimeMillis));
+    this.client =
+        JsonClient.create(new HybridClock(System::currentTimeMillis), new MetricRegistry());
     this.changeId = line.getOptionValue("change-id", UUID.randomUUID().toString());
   }
 
--- a/src/main/java/org/plantainloom/program/scheduler/SchedulerProcess.java
+++ b/src/main/java/org/plantainloom/program/scheduler/SchedulerProcess.java
@@ -36,7 +36,7 @@
   private SchedulerProcess(SchedulerSettings settings) throws IOException {
     CommonSettings common = settings.common();
     this.process = ProcessContext.create(common.name());
-    this.client = JsonClient.create(process.clock());
+    this.client = JsonClient.create(process.clock(), process.metrics());
     KeyValueStore store = new HttpKeyValueStore(client, settings.store(), process.metrics());
     this.server =
         ProcessServer.builder(BoundAddress.resolved(common.listen()), process, readiness)
--- /dev/null
+++ b/src/main/java/org/plantainloom/program/slopes/package-info.java
@@ -0,0 +1,2 @@
+/** Measures what each role costs, and fits slopes over sizes. */
+package org.plantainloom.program.slopes;
--- a/src/main/java/org/plantainloom/program/standin/RunningTask.java
+++ b/src/main/java/org/plantainloom/program/standin/RunningTask.java
@@ -59,6 +59,10 @@
     throttlePercent = Math.min(percent, launch.maxThrottlePercent());
   }
 
+  void fail() {
+    state = RunState.FAILED;
+  }
+
   void stop() {
     if (state == RunState.RUNNING) {
       boolean drains = launch.kind() == WorkloadKind.SERVICE && requestsInFlight > 0;
--- a/src/main/java/org/plantainloom/program/standin/WorkerStandin.java
+++ b/src/main/java/org/plantainloom/program/standin/WorkerStandin.java
@@ -1,8 +1,10 @@
 package org.plantainloom.program.standin;
 
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
+import java.util.function.Predicate;
 import org.apache.commons.rng.RestorableUniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
 import org.plantainloom.state.ResourceVector;
@@ -10,6 +12,7 @@
 import org.plantainloom.state.StartCommand;
 import org.plantainloom.state.TaskLaunch;
 import org.plantainloom.state.TaskRef;
+import org.plantainloom.state.TaskReport;
 import org.plantainloom.state.TimeSource;
 import org.plantainloom.state.WorkerCommands;
 import org.plantainloom.state.WorkerInfo;
@@ -24,6 +27,7 @@
   private final double runTimeLies;
   private final RestorableUniformRandomProvider random;
   private final Map<TaskRef, RunningTask> tasks = new TreeMap<>();
+  private Predicate<TaskRef> fails = ref -> false;
   private long fencingEpoch;
   private int requestsInFlight;
 
@@ -59,12 +63,7 @@
       fencingEpoch = commands.rackEpoch();
       apply(commands);
     }
-    return new WorkerReport(
-        info.id(),
-        info.generation(),
-        fencingEpoch,
-        accepted,
-        tasks.values().stream().map(RunningTask::report).toList());
+    return new WorkerReport(info.id(), info.generation(), fencingEpoch, accepted, reports());
   }
 
   private void apply(WorkerCommands commands) {
@@ -101,6 +100,10 @@
             time.nowMs()));
     ledger.taskStarted(command.ref());
     checkCapacity();
+    if (fails.test(command.ref())) {
+      tasks.get(command.ref()).fail();
+      ledger.taskEnded(command.ref(), false);
+    }
   }
 
   private void checkCapacity() {
@@ -137,6 +140,11 @@
     }
   }
 
+  /** Sets which tasks fail as soon as they start. */
+  public synchronized void failing(Predicate<TaskRef> newFails) {
+    fails = newFails;
+  }
+
   /** Ends all tasks at once, as when the VM is lost. */
   public synchronized void destroy() {
     advance();
@@ -154,7 +162,12 @@
         + " fencing epoch "
         + fencingEpoch
         + " "
-        + tasks.values().stream().map(RunningTask::report).toList();
+        + reports();
+  }
+
+  /** Returns what the worker says of its tasks. */
+  public synchronized List<TaskReport> reports() {
+    return tasks.values().stream().map(RunningTask::report).toList();
   }
 
   /** Moves all tasks on to now. */
--- a/src/main/java/org/plantainloom/protocol/message/ExchangeRequest.java
+++ b/src/main/java/org/plantainloom/protocol/message/ExchangeRequest.java
@@ -1,16 +1,21 @@
 package org.plantainloom.protocol.message;
 
 import java.util.List;
+import java.util.Map;
+import org.plantainloom.coordination.rack.KnownStatus;
 import org.plantainloom.coordination.rack.RackPlan;
+import org.plantainloom.state.RackId;
 
 /**
- * The planner's plans for all racks of one owner.
+ * The planner's plans for the racks of one owner.
  *
- * @param plans a plan for each rack
+ * @param plans a plan for each rack of which something is wanted
+ * @param known how much the planner knows of each rack's status
  */
-public record ExchangeRequest(List<RackPlan> plans) {
-  /** Creates the message with copies of its lists. */
+public record ExchangeRequest(List<RackPlan> plans, Map<RackId, KnownStatus> known) {
+  /** Creates the message with copies of its collections. */
   public ExchangeRequest {
     plans = List.copyOf(plans);
+    known = Map.copyOf(known);
   }
 }
--- a/src/main/java/org/plantainloom/transport/admin/JobChanges.java
+++ b/src/main/java/org/plantainloom/transport/admin/JobChanges.java
@@ -114,8 +114,7 @@
     return new ChangeOutcome.Unavailable(reason);
   }
 
-  // Jobs that are complete are dropped once the document has grown long; the planner keeps their
-  // progress, so a dropped job is not started again.
+  // Jobs that are complete are dropped once the document has grown long.
   private List<JobIntent> pruned(TeamId team, List<JobIntent> jobs) {
     if (jobs.size() <= PRUNE_ABOVE) {
       return jobs;
--- a/src/main/java/org/plantainloom/transport/http/JsonClient.java
+++ b/src/main/java/org/plantainloom/transport/http/JsonClient.java
@@ -1,12 +1,16 @@
 package org.plantainloom.transport.http;
 
+import com.codahale.metrics.MetricRegistry;
 import com.linecorp.armeria.client.ClientFactory;
+import com.linecorp.armeria.client.ClientRequestContext;
+import com.linecorp.armeria.client.HttpClient;
 import com.linecorp.armeria.client.RequestOptions;
 import com.linecorp.armeria.client.WebClient;
 import com.linecorp.armeria.common.AggregatedHttpResponse;
 import com.linecorp.armeria.common.HttpData;
 import com.linecorp.armeria.common.HttpMethod;
 import com.linecorp.armeria.common.HttpRequest;
+import com.linecorp.armeria.common.HttpResponse;
 import com.linecorp.armeria.common.MediaType;
 import com.linecorp.armeria.common.RequestHeaders;
 import com.linecorp.armeria.common.RequestHeadersBuilder;
@@ -30,21 +34,39 @@
   private final WebClient client;
   private final HybridClock clock;
 
-  private JsonClient(ClientFactory factory, HybridClock clock) {
+  private JsonClient(ClientFactory factory, HybridClock clock, WireMeters meters) {
     this.factory = factory;
     this.clock = clock;
-    this.client = WebClient.builder().factory(factory).maxResponseLength(MAX_ANSWER_BYTES).build();
+    this.client =
+        WebClient.builder()
+            .factory(factory)
+            .maxResponseLength(MAX_ANSWER_BYTES)
+            .decorator((delegate, ctx, request) -> metered(delegate, ctx, request, meters))
+            .build();
   }
 
-  /** Creates a client whose messages carry the clock's stamps. */
-  public static JsonClient create(HybridClock clock) {
+  /**
+   * Creates a client whose messages carry the clock's stamps.
+   *
+   * @param metrics counts the bytes on the wire
+   */
+  public static JsonClient create(HybridClock clock, MetricRegistry metrics) {
+    WireMeters meters = new WireMeters(metrics);
     ClientFactory factory =
         ClientFactory.builder()
             .meterRegistry(NoopMeterRegistry.get())
             .connectTimeoutMillis(CONNECT_TIMEOUT_MS)
             .idleTimeoutMillis(IDLE_TIMEOUT_MS)
             .build();
-    return new JsonClient(factory, clock);
+    return new JsonClient(factory, clock, meters);
+  }
+
+  @SuppressWarnings("FutureReturnValueIgnored") // the meters never fail
+  private static HttpResponse metered(
+      HttpClient delegate, ClientRequestContext ctx, HttpRequest request, WireMeters meters)
+      throws Exception {
+    ctx.log().whenComplete().thenAccept(meters::exchanged);
+    return delegate.execute(ctx, request);
   }
 
   /** Sends a GET. */
--- a/src/main/java/org/plantainloom/transport/http/ProcessServer.java
+++ b/src/main/java/org/plantainloom/transport/http/ProcessServer.java
@@ -41,7 +41,9 @@
     ObjectMapper metricsJson =
         new ObjectMapper()
             .registerModule(new MetricsModule(TimeUnit.SECONDS, TimeUnit.MILLISECONDS, false));
+    WireMeters meters = new WireMeters(process.metrics());
     return builder
+        .childChannelPipelineCustomizer(pipeline -> pipeline.addFirst(meters))
         .meterRegistry(NoopMeterRegistry.get())
         .gracefulShutdownTimeoutMillis(QUIET_MS, STOP_TIMEOUT_MS)
         .decorator((delegate, ctx, req) -> stamped(delegate, ctx, req, process.clock()))
--- a/src/main/java/org/plantainloom/transport/node/PlannerDuty.java
+++ b/src/main/java/org/plantainloom/transport/node/PlannerDuty.java
@@ -2,7 +2,6 @@
 
 import com.codahale.metrics.Timer;
 import com.linecorp.armeria.common.HttpMethod;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -17,8 +16,6 @@
 import org.plantainloom.coordination.plan.PlannerSnapshot;
 import org.plantainloom.coordination.plan.RouteTable;
 import org.plantainloom.coordination.plan.TasksWrite;
-import org.plantainloom.coordination.rack.RackPlan;
-import org.plantainloom.coordination.rack.RackStatus;
 import org.plantainloom.protocol.Json;
 import org.plantainloom.protocol.message.ExchangeReply;
 import org.plantainloom.protocol.message.ExchangeRequest;
@@ -211,12 +208,10 @@
     if (!planning || !exchanging.add(address)) {
       return;
     }
-    List<RackPlan> plans = new ArrayList<>();
-    for (RackId rack : racksByAddress.getOrDefault(address, Set.of())) {
-      planner.planFor(rack).filter(p -> !p.isEmpty()).ifPresent(plans::add);
-    }
+    Set<RackId> racks = racksByAddress.getOrDefault(address, Set.of());
+    ExchangeRequest request = new ExchangeRequest(planner.plansFor(racks), planner.knownOf(racks));
     long epoch = planner.epoch();
-    String body = Json.write(new ExchangeRequest(plans));
+    String body = Json.write(request);
     duty.take(
         client.send(HttpMethod.POST, address, PeerPaths.EXCHANGE, body, EXCHANGE_TIMEOUT_MS),
         reply -> {
@@ -228,12 +223,8 @@
   }
 
   private void statusesSeen(String address, ExchangeReply reply) {
-    Set<RackId> racks = new TreeSet<>();
-    for (RackStatus status : reply.racks()) {
-      racks.add(status.rack());
-      planner.statusSeen(status);
-    }
-    racksByAddress.put(address, racks);
+    reply.news().forEach(planner::statusSeen);
+    racksByAddress.put(address, new TreeSet<>(reply.owned()));
   }
 
   @Override
--- a/src/main/java/org/plantainloom/transport/node/RackDuty.java
+++ b/src/main/java/org/plantainloom/transport/node/RackDuty.java
@@ -77,14 +77,15 @@
         () -> {
           request.plans().forEach(keeper::planReceived);
           tick();
-          return new ExchangeReply(keeper.statuses(process.nowMs()));
+          return new ExchangeReply(
+              keeper.owned(), keeper.statusesSince(request.known(), process.nowMs()));
         },
         duty);
   }
 
   /** Returns how many racks this scheduler owns. */
   public CompletableFuture<Integer> owned() {
-    return CompletableFuture.supplyAsync(keeper::owned, duty);
+    return CompletableFuture.supplyAsync(() -> keeper.owned().size(), duty);
   }
 
   private void tick() {
--- a/src/test/java/org/plantainloom/support/SchedulerFake.java
+++ b/src/test/java/org/plantainloom/support/SchedulerFake.java
@@ -1,7 +1,7 @@
 package org.plantainloom.support;
 
-import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeSet;
@@ -11,6 +11,7 @@
 import org.plantainloom.coordination.plan.Planner;
 import org.plantainloom.coordination.plan.PlannerPolicy;
 import org.plantainloom.coordination.plan.TasksWrite;
+import org.plantainloom.coordination.rack.KnownStatus;
 import org.plantainloom.coordination.rack.LeasePolicy;
 import org.plantainloom.coordination.rack.RackAction;
 import org.plantainloom.coordination.rack.RackKeeper;
@@ -272,27 +273,27 @@
     if (!exchanging.add(key)) {
       return;
     }
-    List<RackPlan> plans = new ArrayList<>();
-    heardOf.forEach(r -> planner.planFor(r).filter(p -> !p.isEmpty()).ifPresent(plans::add));
+    List<RackPlan> plans = planner.plansFor(heardOf);
+    Map<RackId, KnownStatus> known = planner.knownOf(heardOf);
     long epoch = planningEpoch;
     call(
-        () -> target.take(plans),
+        () -> target.take(plans, known),
         List.<RackStatus>of(),
-        statuses -> {
+        news -> {
           exchanging.remove(key);
           if (planningEpoch == epoch) {
-            statuses.forEach(planner::statusSeen);
-            statuses.forEach(s -> heardOf.add(s.rack()));
+            news.forEach(planner::statusSeen);
+            news.forEach(s -> heardOf.add(s.rack()));
           }
         });
   }
 
-  private List<RackStatus> take(List<RackPlan> plans) {
+  private List<RackStatus> take(List<RackPlan> plans, Map<RackId, KnownStatus> known) {
     if (!alive || isPaused()) {
       return null;
     }
     plans.forEach(keeper::planReceived);
     act();
-    return keeper.statuses(session.nowMs());
+    return keeper.statusesSince(known, session.nowMs());
   }
 }
--- a/src/test/java/org/plantainloom/support/Session.java
+++ b/src/test/java/org/plantainloom/support/Session.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
+import java.util.function.BiPredicate;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
 import org.plantainloom.coordination.membership.MembershipView;
@@ -31,8 +32,10 @@
 import org.plantainloom.state.MemberRecord;
 import org.plantainloom.state.MemberRole;
 import org.plantainloom.state.PlannerRecord;
+import org.plantainloom.state.RackRecord;
 import org.plantainloom.state.ReadResult;
 import org.plantainloom.state.ReleaseOutcome;
+import org.plantainloom.state.RunState;
 import org.plantainloom.state.StoreEntry;
 import org.plantainloom.state.TaskId;
 import org.plantainloom.state.TaskRef;
@@ -75,6 +78,7 @@
   private VmListing listing;
   private long jobsRevision;
   private boolean storeDown;
+  private int rackWrites;
 
   /** Creates a session with workers and schedulers. */
   public Session(long seed, List<WorkerInfo> fleet, int schedulerCount) {
@@ -183,6 +187,17 @@
         new VmListing(clock.nowMs(), workers.values().stream().map(WorkerStandin::info).toList());
   }
 
+  /** Makes tasks fail on the workers that the test names. */
+  public Session failing(BiPredicate<WorkerId, TaskRef> fails) {
+    workers.forEach((id, worker) -> worker.failing(ref -> fails.test(id, ref)));
+    return this;
+  }
+
+  /** Returns how many writes of racks succeeded so far. */
+  public int rackWrites() {
+    return rackWrites;
+  }
+
   /** Switches the store off or on. */
   public Session storeDown(boolean down) {
     storeDown = down;
@@ -232,6 +247,25 @@
     return violations;
   }
 
+  /** Returns how many tasks of a workload run. */
+  public long running(String workload) {
+    workers.values().forEach(WorkerStandin::advance);
+    return workers.values().stream()
+        .flatMap(w -> w.reports().stream())
+        .filter(r -> r.state() == RunState.RUNNING)
+        .filter(r -> r.ref().task().workload().equals(workload))
+        .count();
+  }
+
+  /** Returns how many commitments there are for workloads whose names begin so. */
+  public long committed(String prefix) {
+    return store.list(Keys.RACKS).entries().stream()
+        .map(e -> Json.read(e.value(), RackRecord.class))
+        .flatMap(r -> r.commitments().stream())
+        .filter(c -> c.ref().task().workload().startsWith(prefix))
+        .count();
+  }
+
   /** Returns the persisted racks and the workers' tasks, for the message of a failed check. */
   public String describe() {
     StringBuilder text = new StringBuilder(log());
@@ -342,6 +376,7 @@
 
   WriteResult cas(String key, long expected, String value) {
     OptionalLong revision = store.compareAndSwap(key, expected, value);
+    rackWrites += revision.isPresent() && key.startsWith(Keys.RACKS) ? 1 : 0;
     return revision.isPresent()
         ? new WriteResult.Written(revision.getAsLong())
         : new WriteResult.Conflict();
