Ask a store that is down once a second, not in a loop

Cause: an owner whose read was refused read again on its next tick, so a store that refuses quickly got up to ten calls a second from each rack and, from the planner, from each team. Change: a refused read is repeated after a second.

Re-run: mvn -B test -Dtest='StoreOutageTest*'

--- a/src/main/java/org/plantainloom/coordination/rack/RackKeeper.java
+++ b/src/main/java/org/plantainloom/coordination/rack/RackKeeper.java
@@ -33,12 +33,14 @@
  */
 public final class RackKeeper {
   private static final long REREAD_MS = 500;
+  private static final long READ_RETRY_MS = 1_000;
   private static final long HAND_OVER_LIMIT_MS = 5_000;
 
   private final MemberId self;
   private final LeasePolicy policy;
   private final SortedMap<RackId, RackOwner> owners = new TreeMap<>();
   private final SortedSet<RackId> racks = new TreeSet<>();
+  private final Map<RackId, Long> readNotBeforeMs = new HashMap<>();
   private final Map<RackId, Waiting> waitings = new HashMap<>();
   private final Set<RackId> reading = new TreeSet<>();
   private final Map<WorkerId, WorkerPace> paces = new HashMap<>();
@@ -46,7 +48,7 @@
   private SortedMap<RackId, MemberId> assignment = new TreeMap<>();
   private SortedMap<RackId, List<WorkerInfo>> workersByRack = new TreeMap<>();
   private MembershipView view = new MembershipView(List.of());
-  private VmListing listing = new VmListing(0, List.of());
+  private VmListing listing = VmListing.empty();
   private ZoneView zones = new ZoneView(0, Set.of());
   private long lastRereadMs;
 
@@ -133,7 +135,7 @@
     for (RackOwner owner : List.copyOf(owners.values())) {
       owner.confirmIfDue(nowMs);
       if (owner.needsRead()) {
-        read(owner, actions);
+        read(owner, nowMs, actions);
       }
       if (owner.owns()) {
         step(owner, nowMs, actions);
@@ -151,8 +153,9 @@
     return actions;
   }
 
-  private void read(RackOwner owner, List<RackAction> actions) {
-    if (reading.add(owner.rack())) {
+  private void read(RackOwner owner, long nowMs, List<RackAction> actions) {
+    boolean due = nowMs >= readNotBeforeMs.getOrDefault(owner.rack(), 0L);
+    if (due && reading.add(owner.rack())) {
       actions.add(new RackAction.ReadRecord(owner.rack()));
     }
   }
@@ -178,7 +181,7 @@
       waitings.remove(owner.rack());
       actions.add(new RackAction.WriteRecord(owner.claim()));
     } else if (rereadDue) {
-      read(owner, actions);
+      read(owner, nowMs, actions);
     }
   }
 
@@ -213,6 +216,8 @@
   public void recordRead(
       RackId rack, Optional<RackRecord> record, long revision, boolean answered, long nowMs) {
     reading.remove(rack);
+    // A store that refuses quickly must not be asked in a tight loop by every owner of every rack.
+    readNotBeforeMs.put(rack, answered ? 0L : nowMs + READ_RETRY_MS);
     RackOwner owner = owners.get(rack);
     if (owner == null || !answered) {
       return;
--- a/src/main/java/org/plantainloom/transport/node/DocumentLoader.java
+++ b/src/main/java/org/plantainloom/transport/node/DocumentLoader.java
@@ -17,19 +17,25 @@
 import org.plantainloom.state.TasksDocument;
 import org.plantainloom.state.TeamConfig;
 import org.plantainloom.state.TeamId;
+import org.plantainloom.state.TimeSource;
 import org.plantainloom.transport.duty.Duty;
 
 /** Reads the planner's documents from the store; used on the planner's duty only. */
 final class DocumentLoader {
+  private static final long RETRY_MS = 1_000;
+
+  private final TimeSource time;
   private final KeyValueStore store;
   private final Planner planner;
   private final Duty duty;
   private final Set<String> reading = new HashSet<>();
   private final Map<TeamId, String> configVersions = new TreeMap<>();
   private final Set<TeamId> jobsLoaded = new TreeSet<>();
+  private long retryAtMs;
   private Iterator<TeamId> sweep = List.<TeamId>of().iterator();
 
-  DocumentLoader(KeyValueStore store, Planner planner, Duty duty) {
+  DocumentLoader(TimeSource time, KeyValueStore store, Planner planner, Duty duty) {
+    this.time = time;
     this.store = store;
     this.planner = planner;
     this.duty = duty;
@@ -42,6 +48,9 @@
 
   /** Reads whatever the planner lacks or has in an old version. */
   void loadMissing() {
+    if (time.nowMs() < retryAtMs) {
+      return;
+    }
     planner.teamsToRead().forEach(this::readTasks);
     planner
         .index()
@@ -115,6 +124,8 @@
             onFound.accept(found);
           } else if (result instanceof ReadResult.Absent) {
             onAbsent.run();
+          } else {
+            retryAtMs = time.nowMs() + RETRY_MS;
           }
         });
   }
--- a/src/main/java/org/plantainloom/transport/node/PlannerDuty.java
+++ b/src/main/java/org/plantainloom/transport/node/PlannerDuty.java
@@ -71,7 +71,7 @@
     this.planner = new Planner(policy);
     this.roundTimer = process.metrics().timer("planner.round");
     this.duty = Duty.start("planner", TICK_MS, this::tick);
-    this.loader = new DocumentLoader(store, planner, duty);
+    this.loader = new DocumentLoader(process.time(), store, planner, duty);
     this.routes = new RouteFeed(duty);
   }
 
--- a/src/test/java/org/plantainloom/support/SchedulerFake.java
+++ b/src/test/java/org/plantainloom/support/SchedulerFake.java
@@ -118,7 +118,15 @@
   }
 
   private <T> void callStore(Supplier<T> effect, T unanswered, Consumer<T> onReply) {
-    call(() -> storeCut || session.isStoreDown() ? null : effect.get(), unanswered, onReply);
+    call(
+        () -> {
+          if (storeCut) {
+            return null;
+          }
+          return session.refusesStoreCall() ? unanswered : effect.get();
+        },
+        unanswered,
+        onReply);
   }
 
   private void tick() {
--- a/src/test/java/org/plantainloom/support/Session.java
+++ b/src/test/java/org/plantainloom/support/Session.java
@@ -79,6 +79,7 @@
   private long jobsRevision;
   private boolean storeDown;
   private int rackWrites;
+  private int refusedCalls;
 
   /** Creates a session with workers and schedulers. */
   public Session(long seed, List<WorkerInfo> fleet, int schedulerCount) {
@@ -87,7 +88,7 @@
     for (WorkerInfo info : fleet) {
       workers.put(info.id(), newWorker(info));
     }
-    this.listing = new VmListing(clock.nowMs(), fleet);
+    this.listing = VmListing.of(clock.nowMs(), fleet);
     for (int i = 1; i <= schedulerCount; i++) {
       addScheduler("scheduler-" + i);
     }
@@ -184,7 +185,7 @@
 
   private void relist() {
     listing =
-        new VmListing(clock.nowMs(), workers.values().stream().map(WorkerStandin::info).toList());
+        VmListing.of(clock.nowMs(), workers.values().stream().map(WorkerStandin::info).toList());
   }
 
   /** Makes tasks fail on the workers that the test names. */
@@ -319,6 +320,17 @@
     return messages;
   }
 
+  /** Counts a call to the store; returns whether it is refused at once, since the store is down. */
+  boolean refusesStoreCall() {
+    refusedCalls += storeDown ? 1 : 0;
+    return storeDown;
+  }
+
+  /** Returns how many calls a store that was down has refused. */
+  public int refusedCalls() {
+    return refusedCalls;
+  }
+
   boolean isStoreDown() {
     return storeDown;
   }
