Choose a worker without allocating; index the VM list

Cause: a profile of the experiment at 750 workers showed the choice building the service's name for each worker, and stops and routes scanning the VM list for each task. Change: counts of a service's replicas are looked up once for a choice; the listing is a map. The whole round was not measured apart from noise.

Re-run: bin/benchmark

--- a/src/main/java/org/plantainloom/coordination/plan/Fleet.java
+++ b/src/main/java/org/plantainloom/coordination/plan/Fleet.java
@@ -1,6 +1,7 @@
 package org.plantainloom.coordination.plan;
 
 import java.util.Collection;
+import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
@@ -18,7 +19,7 @@
 public final class Fleet {
   private final PlacementPolicy policy;
   private final Map<WorkerId, FleetWorker> byId = new TreeMap<>();
-  private final Spread spread = new Spread();
+  private final Map<String, Spread> spreads = new HashMap<>();
 
   /** Creates a fleet without workers. */
   public Fleet(PlacementPolicy policy) {
@@ -46,15 +47,21 @@
     if (worker == null) {
       return;
     }
-    worker.take(task, launch.kind(), launch.size());
+    worker.take(launch.size());
     if (launch.kind() == WorkloadKind.SERVICE) {
-      spread.add(task, worker.info());
+      spreadOf(task).add(worker.info());
     }
   }
 
+  private Spread spreadOf(TaskId task) {
+    return spreads.computeIfAbsent(Planner.serviceKey(task), k -> new Spread());
+  }
+
   /** Chooses a worker with room for the task. */
   public Optional<FleetWorker> choose(
       TaskId task, TaskLaunch launch, Collection<WorkerId> avoided) {
+    Optional<Spread> spread =
+        launch.kind() == WorkloadKind.SERVICE ? Optional.of(spreadOf(task)) : Optional.empty();
     FleetWorker best = null;
     double bestScore = Double.MAX_VALUE;
     for (FleetWorker worker : byId.values()) {
@@ -65,7 +72,9 @@
       if (!eligible) {
         continue;
       }
-      double score = score(worker, task, launch);
+      ResourceVector left = worker.free().minus(launch.size());
+      double fit = policy.score(worker.info().capacity(), left, launch.size());
+      double score = spread.isPresent() ? spread.get().crowding(worker.info()) + fit : fit;
       if (score < bestScore) {
         best = worker;
         bestScore = score;
@@ -74,23 +83,6 @@
     return Optional.ofNullable(best);
   }
 
-  private double score(FleetWorker worker, TaskId task, TaskLaunch launch) {
-    ResourceVector left = worker.free().minus(launch.size());
-    double fit = policy.score(worker.info().capacity(), left, launch.size());
-    if (launch.kind() == WorkloadKind.BATCH) {
-      return fit;
-    }
-    return SAME_ZONE * spread.inZone(task, worker.info())
-        + SAME_RACK * spread.inRack(task, worker.info())
-        + SAME_WORKER * worker.replicasOf(task)
-        + fit;
-  }
-
-  // Spreading outweighs fitting: a zone counts more than a rack, a rack more than a worker.
-  private static final double SAME_ZONE = 1_000_000;
-  private static final double SAME_RACK = 10_000;
-  private static final double SAME_WORKER = 1_000;
-
   /** Returns whether any worker of the fleet could hold the size if it were empty. */
   public boolean couldHold(ResourceVector size) {
     return byId.values().stream().anyMatch(w -> size.fitsIn(w.info().capacity()));
--- a/src/main/java/org/plantainloom/coordination/plan/FleetWorker.java
+++ b/src/main/java/org/plantainloom/coordination/plan/FleetWorker.java
@@ -1,18 +1,13 @@
 package org.plantainloom.coordination.plan;
 
-import java.util.HashMap;
-import java.util.Map;
 import org.plantainloom.state.ResourceVector;
-import org.plantainloom.state.TaskId;
 import org.plantainloom.state.WorkerInfo;
-import org.plantainloom.state.WorkloadKind;
 
-/** A worker during one planning round: what is free and what runs there. */
+/** A worker during one planning round: what is free. */
 public final class FleetWorker {
   private final WorkerInfo info;
   private final boolean usable;
   private ResourceVector free;
-  private final Map<String, Integer> replicas = new HashMap<>();
 
   /** Creates an empty worker; an unusable one only serves to account for what runs there. */
   public FleetWorker(WorkerInfo info, boolean usable) {
@@ -37,24 +32,12 @@
   }
 
   /** Takes resources for a task. */
-  public void take(TaskId task, WorkloadKind kind, ResourceVector size) {
+  public void take(ResourceVector size) {
     free = free.minus(size);
-    if (kind == WorkloadKind.SERVICE) {
-      replicas.merge(serviceKey(task), 1, Integer::sum);
-    }
   }
 
   /** Gives back the resources of a task. */
   public void giveBack(ResourceVector size) {
     free = free.plus(size);
   }
-
-  /** Returns how many replicas of the task's service are on the worker. */
-  public int replicasOf(TaskId task) {
-    return replicas.getOrDefault(serviceKey(task), 0);
-  }
-
-  static String serviceKey(TaskId task) {
-    return task.team() + "/" + task.workload();
-  }
 }
--- a/src/main/java/org/plantainloom/coordination/plan/Planner.java
+++ b/src/main/java/org/plantainloom/coordination/plan/Planner.java
@@ -23,6 +23,7 @@
 import org.plantainloom.state.RackId;
 import org.plantainloom.state.Release;
 import org.plantainloom.state.RunState;
+import org.plantainloom.state.TaskId;
 import org.plantainloom.state.TaskRef;
 import org.plantainloom.state.TasksDocument;
 import org.plantainloom.state.TeamConfig;
@@ -49,7 +50,7 @@
   private final Set<String> reportedOnce = new HashSet<>();
   private final List<DecisionEvent> events = new ArrayList<>();
   private Set<TaskRef> stops = Set.of();
-  private VmListing listing = new VmListing(0, List.of());
+  private VmListing listing = VmListing.empty();
   private ConfigIndex index = ConfigIndex.empty();
   private RouteTable routes = RouteTable.empty();
   private long epoch;
@@ -192,7 +193,7 @@
         .map(
             w ->
                 new Route(
-                    FleetWorker.serviceKey(commitment.ref().task()),
+                    serviceKey(commitment.ref().task()),
                     commitment.ref(),
                     w.id(),
                     w.address(),
@@ -235,6 +236,11 @@
     return listing;
   }
 
+  /** Returns the service of a replica as {@code team/name}. */
+  static String serviceKey(TaskId task) {
+    return task.team() + "/" + task.workload();
+  }
+
   Optional<RackStatus> status(RackId rack) {
     return Optional.ofNullable(statuses.get(rack));
   }
--- a/src/main/java/org/plantainloom/coordination/plan/Spread.java
+++ b/src/main/java/org/plantainloom/coordination/plan/Spread.java
@@ -2,26 +2,32 @@
 
 import java.util.HashMap;
 import java.util.Map;
-import org.plantainloom.state.TaskId;
+import org.plantainloom.state.RackId;
+import org.plantainloom.state.WorkerId;
 import org.plantainloom.state.WorkerInfo;
+import org.plantainloom.state.ZoneName;
 
-/** Counts the replicas of each service by zone and rack, for spreading. */
+/** Counts the replicas of one service by zone, rack and worker. */
 final class Spread {
-  private final Map<Place, Integer> counts = new HashMap<>();
+  // Spreading outweighs fitting: a zone counts more than a rack, a rack more than a worker.
+  private static final double SAME_ZONE = 1_000_000;
+  private static final double SAME_RACK = 10_000;
+  private static final double SAME_WORKER = 1_000;
 
-  private record Place(String service, Object where) {}
+  private final Map<ZoneName, Integer> byZone = new HashMap<>();
+  private final Map<RackId, Integer> byRack = new HashMap<>();
+  private final Map<WorkerId, Integer> byWorker = new HashMap<>();
 
-  void add(TaskId task, WorkerInfo worker) {
-    String service = FleetWorker.serviceKey(task);
-    counts.merge(new Place(service, worker.zone()), 1, Integer::sum);
-    counts.merge(new Place(service, worker.rack()), 1, Integer::sum);
+  void add(WorkerInfo worker) {
+    byZone.merge(worker.zone(), 1, Integer::sum);
+    byRack.merge(worker.rack(), 1, Integer::sum);
+    byWorker.merge(worker.id(), 1, Integer::sum);
   }
 
-  int inZone(TaskId task, WorkerInfo worker) {
-    return counts.getOrDefault(new Place(FleetWorker.serviceKey(task), worker.zone()), 0);
-  }
-
-  int inRack(TaskId task, WorkerInfo worker) {
-    return counts.getOrDefault(new Place(FleetWorker.serviceKey(task), worker.rack()), 0);
+  /** Returns how crowded the service already is around a worker; lower is better. */
+  double crowding(WorkerInfo worker) {
+    return SAME_ZONE * byZone.getOrDefault(worker.zone(), 0)
+        + SAME_RACK * byRack.getOrDefault(worker.rack(), 0)
+        + SAME_WORKER * byWorker.getOrDefault(worker.id(), 0);
   }
 }
--- a/src/main/java/org/plantainloom/coordination/rack/RackOwner.java
+++ b/src/main/java/org/plantainloom/coordination/rack/RackOwner.java
@@ -49,7 +49,7 @@
   private boolean writeInFlight;
   private boolean needsRead = true;
   private Optional<RackPlan> plan = Optional.empty();
-  private VmListing listing = new VmListing(0, List.of());
+  private VmListing listing = VmListing.empty();
   private ZoneView zones = new ZoneView(0, Set.of());
   private long lastCheckpointMs;
   private long stirs;
--- a/src/main/java/org/plantainloom/program/experiment/ModelFleet.java
+++ b/src/main/java/org/plantainloom/program/experiment/ModelFleet.java
@@ -35,6 +35,6 @@
               64,
               false));
     }
-    return new VmListing(1, all);
+    return VmListing.of(1, all);
   }
 }
--- a/src/main/java/org/plantainloom/program/slopes/SlopesRun.java
+++ b/src/main/java/org/plantainloom/program/slopes/SlopesRun.java
@@ -28,6 +28,7 @@
     LogLevel.ERROR.apply();
     if (settings.processes().isEmpty()) {
       Fit.print(System.out, Path.of(settings.samples()));
+      UnitSizes.print(System.out);
       return ExitCode.OK;
     }
     HybridClock clock = new HybridClock(System::currentTimeMillis);
--- a/src/main/java/org/plantainloom/program/standin/PlatformService.java
+++ b/src/main/java/org/plantainloom/program/standin/PlatformService.java
@@ -52,7 +52,7 @@
   @Get("/vms")
   public HttpResponse vms() {
     return Replies.ok(
-        new VmListing(process.nowMs(), workers.stream().map(WorkerStandin::info).toList()));
+        VmListing.of(process.nowMs(), workers.stream().map(WorkerStandin::info).toList()));
   }
 
   /** Switches faults on and off. */
--- a/src/main/java/org/plantainloom/state/VmListing.java
+++ b/src/main/java/org/plantainloom/state/VmListing.java
@@ -1,22 +1,42 @@
 package org.plantainloom.state;
 
-import java.util.List;
+import java.util.Collection;
+import java.util.Collections;
 import java.util.Optional;
+import java.util.SortedMap;
+import java.util.TreeMap;
 
 /**
  * One answer of the platform's VM list.
  *
  * @param asOfMs when the platform gathered it, in milliseconds since the epoch
- * @param workers the workers it lists
+ * @param byId the workers it lists, by name
  */
-public record VmListing(long asOfMs, List<WorkerInfo> workers) {
-  /** Creates the listing with a copy of the workers. */
+public record VmListing(long asOfMs, SortedMap<WorkerId, WorkerInfo> byId) {
+  /** Creates the listing with a copy of the map. */
   public VmListing {
-    workers = List.copyOf(workers);
+    byId = Collections.unmodifiableSortedMap(new TreeMap<>(byId));
+  }
+
+  /** Returns a listing of workers. */
+  public static VmListing of(long asOfMs, Collection<WorkerInfo> workers) {
+    SortedMap<WorkerId, WorkerInfo> byId = new TreeMap<>();
+    workers.forEach(w -> byId.put(w.id(), w));
+    return new VmListing(asOfMs, byId);
+  }
+
+  /** Returns the listing before the first one arrived. */
+  public static VmListing empty() {
+    return new VmListing(0, new TreeMap<>());
+  }
+
+  /** Returns the workers, ordered by name. */
+  public Collection<WorkerInfo> workers() {
+    return byId.values();
   }
 
   /** Returns the worker of that name, if listed. */
   public Optional<WorkerInfo> worker(WorkerId id) {
-    return workers.stream().filter(w -> w.id().equals(id)).findFirst();
+    return Optional.ofNullable(byId.get(id));
   }
 }
--- a/src/main/java/org/plantainloom/transport/node/VmListDuty.java
+++ b/src/main/java/org/plantainloom/transport/node/VmListDuty.java
@@ -15,7 +15,7 @@
   private final VmList vmList;
   private final Duty duty;
   private final List<Consumer<VmListing>> listeners = new CopyOnWriteArrayList<>();
-  private volatile VmListing latest = new VmListing(0, List.of());
+  private volatile VmListing latest = VmListing.empty();
   private boolean polling;
 
   /** Starts polling. */
