Give racing operators turns: jittered pauses between attempts at the index

Cause: sixteen operators who submitted at the same time (bin/measure-slopes at 120 workers) used up the ten attempts of a change at once; one got 'unavailable: the index changed or its answer was lost' though the store was fine. Optional keys of a document are now named among the known ones.

--- a/src/main/java/org/plantainloom/program/standin/StoreStandin.java
+++ b/src/main/java/org/plantainloom/program/standin/StoreStandin.java
@@ -63,7 +63,8 @@
     return OptionalLong.of(put(key, value, Long.MAX_VALUE));
   }
 
-  synchronized long putLeased(String key, String value, long ttlMs) {
+  /** Writes a key that vanishes after the time to live; 0 removes it. */
+  public synchronized long putLeased(String key, String value, long ttlMs) {
     if (ttlMs <= 0) {
       entries.remove(key);
       return ++lastRevision;
--- a/src/main/java/org/plantainloom/protocol/document/DocumentReader.java
+++ b/src/main/java/org/plantainloom/protocol/document/DocumentReader.java
@@ -59,6 +59,7 @@
 
   /** Returns whether the field is there. */
   public boolean has(String key) {
+    read.add(key);
     return fields.containsKey(key);
   }
 
--- a/src/main/java/org/plantainloom/transport/admin/ConfigChanges.java
+++ b/src/main/java/org/plantainloom/transport/admin/ConfigChanges.java
@@ -22,7 +22,7 @@
  * looking for the change id. Methods block and are called on blocking threads only.
  */
 public final class ConfigChanges {
-  private static final int MAX_ATTEMPTS = 10;
+  private static final int MAX_ATTEMPTS = 20;
 
   private final KeyValueStore store;
 
@@ -63,6 +63,7 @@
       ChangeRequest request, Function<ConfigIndex, Optional<ConfigIndex>> derive) {
     String reason = "no attempt was made";
     for (int attempt = 0; attempt < MAX_ATTEMPTS; attempt++) {
+      AttemptPause.after(attempt);
       ReadResult read = store.read(Keys.CONFIG_INDEX).join();
       if (read instanceof ReadResult.Unavailable unavailable) {
         reason = unavailable.reason();
--- a/src/main/java/org/plantainloom/transport/admin/JobChanges.java
+++ b/src/main/java/org/plantainloom/transport/admin/JobChanges.java
@@ -21,7 +21,7 @@
 
 /** Creates and cancels batch jobs by compare-and-swap on the team's document of intents. */
 public final class JobChanges {
-  private static final int MAX_ATTEMPTS = 10;
+  private static final int MAX_ATTEMPTS = 20;
   private static final int PRUNE_ABOVE = 200;
 
   private final KeyValueStore store;
@@ -86,6 +86,7 @@
   private ChangeOutcome change(TeamId team, Function<JobsDocument, Step> derive) {
     String reason = "no attempt was made";
     for (int attempt = 0; attempt < MAX_ATTEMPTS; attempt++) {
+      AttemptPause.after(attempt);
       ReadResult read = store.read(Keys.jobs(team)).join();
       if (read instanceof ReadResult.Unavailable unavailable) {
         reason = unavailable.reason();
