Let leases outlive an hour without the store

Cause: worked out for docs/CAPACITY.md: the renewal horizon of 15 min ends before an hour in which regions lose each other is over, so all work on the side without the store would stop. Change: horizon of 75 min. Its price: when an owner is dead and a worker that only it could reach is still listed, the worker's tasks wait up to 75 min for their release. Before: 0 of 3 replicas run after an hour without the store; after: 3 (StoreOutageTest).

Re-run: mvn -B test -Dtest='StoreOutageTest*'

--- a/src/main/java/org/plantainloom/coordination/rack/LeasePolicy.java
+++ b/src/main/java/org/plantainloom/coordination/rack/LeasePolicy.java
@@ -23,7 +23,8 @@
     long confirmMs) {
   private static final long LEASE_MS = 10_000;
   private static final long START_VALIDITY_MS = 1_800; // leaves 200 ms of the 2 s for clock skew
-  private static final long HORIZON_MS = 900_000;
+  private static final long HORIZON_MS =
+      4_500_000; // outlives an hour without the store, by 15 minutes
   private static final long HORIZON_SLACK_MS = 60_000;
   private static final long CLOCK_SKEW_MS = 200;
   private static final long UNREACHABLE_MS = 5_000;
--- a/src/test/java/org/plantainloom/coordination/StoreOutageTest.java
+++ b/src/test/java/org/plantainloom/coordination/StoreOutageTest.java
@@ -28,6 +28,16 @@
       assertThat(session.ledger().taskStarts()).isEqualTo(starts);
     }
 
+    @Test
+    public void should_outlive_an_hour_in_which_the_regions_are_apart() {
+      // given
+      Session session = running();
+      // when
+      session.storeDown(true).run(3_600_000L);
+      // then
+      assertThat(session.running("leafweigh")).isEqualTo(3);
+    }
+
     @Test
     public void should_finish_everything_once_after_the_store_is_back() {
       // given
