--- /dev/null
+++ b/src/main/java/org/plantainloom/coordination/dispatch/DispatchPolicy.java
@@ -0,0 +1,52 @@
+package org.plantainloom.coordination.dispatch;
+
+/**
+ * Times and limits of the dispatcher.
+ *
+ * @param leaseMs length of the leases given to workers; the most that the platform grants, so that
+ *     running work outlives a change of the owner
+ * @param stopGraceMs longest time a worker takes to stop a run; set by the platform
+ * @param busyLookMs how long a look waits at a worker that has work
+ * @param idleLookMs how long a look waits at a worker without work; the platform's limit
+ * @param guardLookMs how long a look waits at a worker whose tail latency is being controlled; half
+ *     of the window over which workers measure it
+ * @param catchUpMs after how long without an answer a worker that was not reached yet is presumed
+ *     to run nothing of a former owner
+ */
+public record DispatchPolicy(
+    long leaseMs,
+    long stopGraceMs,
+    long busyLookMs,
+    long idleLookMs,
+    long guardLookMs,
+    long catchUpMs) {
+  /** How much longer than told a lease may last, as workers' clocks may run slow by 2 %. */
+  private static final double SLOW_CLOCK = 1.02;
+
+  /** Allowance for rounding and for the way of a message, in milliseconds. */
+  private static final long LEASE_SLACK_MS = 100;
+
+  /** Within this time a former owner learns from its looks that it was replaced. */
+  private static final long FENCE_NOTICE_MS = 1_500;
+
+  private static final long BUSY_LOOK_MS = 1_000;
+  private static final long IDLE_LOOK_MS = 2_000;
+  private static final long GUARD_LOOK_MS = 400;
+
+  /** Returns the policy for a platform's limits, in milliseconds. */
+  public static DispatchPolicy of(long maxLeaseMs, long stopGraceMs) {
+    long longest = (long) (maxLeaseMs * SLOW_CLOCK) + LEASE_SLACK_MS;
+    return new DispatchPolicy(
+        maxLeaseMs,
+        stopGraceMs,
+        BUSY_LOOK_MS,
+        IDLE_LOOK_MS,
+        GUARD_LOOK_MS,
+        longest + FENCE_NOTICE_MS);
+  }
+
+  /** Returns how long a lease given now may last on a clock that runs slow, in milliseconds. */
+  long longestLeaseMs() {
+    return (long) (leaseMs * SLOW_CLOCK) + LEASE_SLACK_MS;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/plantainloom/coordination/dispatch/Dispatcher.java
@@ -0,0 +1,427 @@
+package org.plantainloom.coordination.dispatch;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.plantainloom.state.job.ClusterConfig;
+import org.plantainloom.state.job.JobProgress;
+import org.plantainloom.state.job.JobSpec;
+import org.plantainloom.state.job.JobStatus;
+import org.plantainloom.state.job.LookReply;
+import org.plantainloom.state.job.OrderReply;
+import org.plantainloom.state.job.StartOrder;
+import org.plantainloom.state.job.WorkerEntry;
+
+/**
+ * The scheduler's decisions while it owns the workers.
+ *
+ * <p>All methods are called by one thread. Times are milliseconds of a steady clock, but for due
+ * times of jobs, which are wall-clock times.
+ */
+public final class Dispatcher {
+  /** Run numbers of one owner; a later owner starts above them without reading them back. */
+  private static final long RUNS_PER_TERM = 100_000;
+
+  /** Entries of a transaction that one job's progress takes: its required revision, its value. */
+  private static final int JOBS_PER_COMMIT = 15;
+
+  /** How long a worker that did not answer is left before it is asked again. */
+  private static final long RETRY_LOOK_MS = 100;
+
+  private static final long RETRY_STOP_MS = 300;
+
+  /** How long a look waits for ends to be kept before it repeats them. */
+  private static final long UNKEPT_LOOK_MS = 400;
+
+  private final DispatchPolicy policy;
+  private final DecisionLog log;
+  private final JobTable jobs = new JobTable();
+  private final RunTable runs;
+  private final WorkerReports reports;
+  private final Placement placement = new Placement();
+  private final WaitingOrder waitingOrder = new WaitingOrder(ClusterConfig.UNKNOWN);
+  private final StallWatch stalls;
+  private final Map<String, WorkerState> workers = new HashMap<>();
+  private final List<Order> extraOrders = new ArrayList<>();
+  private final long ownedSinceMs;
+  private ClusterConfig config = ClusterConfig.UNKNOWN;
+  private boolean fenced;
+  private boolean caughtUp;
+  private boolean startsHeld;
+
+  /**
+   * Creates the decisions of a new owner.
+   *
+   * @param term counts the owners, from 1
+   * @param nowMs the steady clock
+   */
+  public Dispatcher(long term, DispatchPolicy policy, DecisionLog log, long nowMs) {
+    this.policy = policy;
+    this.log = log;
+    this.ownedSinceMs = nowMs;
+    this.runs =
+        new RunTable(
+            jobs, log, (term - 1) * RUNS_PER_TERM + 1, name -> config.queue(name).orElse(null));
+    this.reports = new WorkerReports(jobs, runs, log, policy);
+    this.stalls = new StallWatch(log);
+  }
+
+  /** Takes over a job that was accepted before this owner began. */
+  public void restore(JobSpec spec, JobProgress progress, long revision, long nowMs) {
+    JobState job = jobs.add(spec, nowMs);
+    job.restore(progress, revision);
+    if (job.isOver()) {
+      jobs.restoredAsOver(job, nowMs);
+    }
+  }
+
+  /** Takes note of a newly accepted job. */
+  public void submitted(JobSpec spec, long nowMs) {
+    if (jobs.job(spec.id()) == null) {
+      jobs.add(spec, nowMs);
+      log.decided(
+          "job-known", spec.id(), "queue=" + spec.queue() + " phases=" + spec.phases().size());
+    }
+  }
+
+  /** Takes note that a job was cancelled. */
+  public void cancelled(String jobId, long nowMs) {
+    JobState job = jobs.job(jobId);
+    if (job != null && !job.isOver()) {
+      log.decided("job-cancelled", jobId, "status=" + job.status);
+      runs.over(job, JobStatus.CANCELLED, nowMs);
+    }
+  }
+
+  /** Applies a configuration, unless a newer one is held. */
+  public void configure(ClusterConfig newConfig) {
+    if (newConfig.version() > config.version()) {
+      config = newConfig;
+      waitingOrder.configChanged(newConfig);
+    }
+  }
+
+  /** Sets the availability zones in which nothing may start. */
+  public void withdrawZones(Set<String> zones) {
+    placement.zonesWithdrawn(zones);
+  }
+
+  /**
+   * Takes note of a worker's registration.
+   *
+   * @param persisted whether a later owner would know of the worker from the store
+   */
+  public void registered(WorkerEntry entry, boolean persisted, long nowMs) {
+    WorkerState worker = workers.get(entry.id());
+    if (worker == null) {
+      worker = new WorkerState(entry, nowMs);
+      workers.put(entry.id(), worker);
+      log.decided(
+          "worker-known", entry.id(), "zone=" + entry.zone() + " address=" + entry.address());
+    }
+    if (entry.draining() != worker.entry.draining()) {
+      log.decided("worker-draining", entry.id(), "draining=" + entry.draining());
+    }
+    worker.entry = entry;
+    worker.registered = true;
+    worker.persisted |= persisted;
+  }
+
+  /** Takes note that a worker is no longer registered; it may still run on. */
+  public void unregistered(String workerId) {
+    WorkerState worker = workers.get(workerId);
+    if (worker != null && worker.registered) {
+      worker.registered = false;
+      log.decided("worker-unregistered", workerId, "runs=" + worker.runs.size());
+    }
+  }
+
+  /** Returns the workers that a later owner has to ask, or empty if the store lists them. */
+  public Optional<List<WorkerEntry>> unpersistedFleet() {
+    boolean all = workers.values().stream().allMatch(w -> w.persisted);
+    return all
+        ? Optional.empty()
+        : Optional.of(workers.values().stream().map(w -> w.entry).toList());
+  }
+
+  /** Takes note that the store lists these workers. */
+  public void fleetPersisted(List<WorkerEntry> fleet) {
+    for (WorkerEntry entry : fleet) {
+      WorkerState worker = workers.get(entry.id());
+      if (worker != null) {
+        worker.persisted = true;
+      }
+    }
+  }
+
+  /** Stops or resumes starting tasks. */
+  public void holdStarts(boolean hold) {
+    startsHeld = hold;
+    log.decided("starts-held", "fleet", "held=" + hold);
+  }
+
+  /** Returns whether a worker reported a newer owner. */
+  public boolean isFenced() {
+    return fenced;
+  }
+
+  /** Returns all orders that are due now. */
+  public List<Order> decide(long nowMs, long wallMs) {
+    List<Order> orders = new ArrayList<>(extraOrders);
+    extraOrders.clear();
+    if (fenced) {
+      return List.of();
+    }
+    expireLeases(nowMs);
+    stalls.check(workers.values(), nowMs);
+    if (!startsHeld) {
+      place(orders, nowMs, wallMs);
+    }
+    for (WorkerState worker : workers.values()) {
+      orderStops(worker, orders, nowMs);
+      orderLook(worker, orders, nowMs);
+    }
+    return orders;
+  }
+
+  private void expireLeases(long nowMs) {
+    for (WorkerState worker : new ArrayList<>(workers.values())) {
+      boolean over = worker.lastAnswerMs + policy.catchUpMs() < nowMs && worker.leaseOverMs < nowMs;
+      if (worker.unreachable && over) {
+        runs.lostAll(worker, "lease over", nowMs);
+        if (!worker.registered) {
+          workers.remove(worker.id());
+          log.decided("worker-forgotten", worker.id(), "");
+        }
+      }
+    }
+    if (!caughtUp) {
+      boolean all = workers.values().stream().allMatch(w -> w.confirmed);
+      caughtUp = all || nowMs > ownedSinceMs + policy.catchUpMs();
+      if (caughtUp) {
+        log.decided("caught-up", "fleet", "workers=" + workers.size() + " all=" + all);
+      }
+    }
+  }
+
+  private void place(List<Order> orders, long nowMs, long wallMs) {
+    List<Ranked> ready = new ArrayList<>();
+    for (JobState job : jobs.open()) {
+      if (!caughtUp && job.knownSinceMs <= ownedSinceMs) {
+        continue;
+      }
+      for (List<PhaseState> phases : job.occurrences) {
+        for (PhaseState phase : phases) {
+          if (phase.isReady(wallMs) && !phase.waiting(nowMs).isEmpty()) {
+            ready.add(new Ranked(waitingOrder.rank(phase, wallMs), phase));
+          }
+        }
+      }
+    }
+    ready.sort((a, b) -> a.rank().compareTo(b.rank()));
+    for (Ranked next : ready) {
+      placePhase(next.phase(), orders, nowMs);
+    }
+  }
+
+  private record Ranked(WaitingOrder.Rank rank, PhaseState phase) {}
+
+  private void placePhase(PhaseState phase, List<Order> orders, long nowMs) {
+    JobState job = phase.job;
+    String service = config.queue(job.spec.queue()).map(q -> q.service()).orElse("");
+    List<Run> begun = new ArrayList<>();
+    List<TaskState> waiting = phase.waiting(nowMs);
+    long number = waiting.stream().mapToLong(runs::nextNumber).max().orElse(1);
+    for (TaskState task : waiting) {
+      WorkerState worker = placement.choose(phase, service, workers.values(), nowMs);
+      if (worker == null) {
+        break;
+      }
+      long own = phase.spec.gang() ? number : runs.nextNumber(task);
+      begun.add(runs.begin(task, worker, own, nowMs));
+    }
+    if (phase.spec.gang() && begun.size() < waiting.size()) {
+      begun.forEach(run -> runs.dropped(run, "gang does not fit"));
+      return;
+    }
+    if (!begun.isEmpty() && job.status == JobStatus.QUEUED) {
+      job.status = JobStatus.ACTIVE;
+    }
+    begun.forEach(run -> orders.add(startOrder(run, nowMs)));
+  }
+
+  private Order startOrder(Run run, long nowMs) {
+    WorkerState worker = run.worker;
+    worker.leaseExtended(nowMs, policy);
+    log.decided(
+        "run-ordered", run, "idleCpu=" + worker.idleCpuMillis() + " runs=" + worker.runs.size());
+    StartOrder order =
+        new StartOrder(
+            run.task.key, run.number, run.task.phase.job.spec.payload(), run.task.checkpoint, "");
+    return new Order.Start(run, worker.entry, order, worker.clockAt(nowMs) + policy.leaseMs());
+  }
+
+  private static void orderStops(WorkerState worker, List<Order> orders, long nowMs) {
+    for (Run run : worker.runs.values()) {
+      boolean due = run.stopOrderedMs == 0 || nowMs - run.stopOrderedMs >= RETRY_STOP_MS;
+      if (run.isStopping() && !run.stopInFlight && run.stopAnsweredMs < 0 && due) {
+        run.stopInFlight = true;
+        run.stopOrderedMs = nowMs;
+        orders.add(new Order.Stop(worker.entry, run.task.key, run.number));
+      }
+    }
+  }
+
+  private void orderLook(WorkerState worker, List<Order> orders, long nowMs) {
+    worker.advanceAcknowledged();
+    boolean unkept = worker.endsSeen > worker.acknowledged;
+    if (worker.lookInFlight || (nowMs < worker.nextLookMs && (unkept || worker.unreachable))) {
+      return;
+    }
+    worker.lookInFlight = true;
+    Optional<Long> lease = Optional.empty();
+    if (worker.isClockKnown()) {
+      lease = Optional.of(worker.clockAt(nowMs) + policy.leaseMs());
+      worker.leaseExtended(nowMs, policy);
+    }
+    long waitMs = unkept || worker.unreachable || !worker.confirmed ? 0 : waitMs(worker);
+    orders.add(new Order.Look(worker.entry, lease, worker.acknowledged, waitMs));
+  }
+
+  private long waitMs(WorkerState worker) {
+    if (TailGuard.isNeeded(worker)) {
+      return policy.guardLookMs();
+    }
+    return worker.runs.isEmpty() ? policy.idleLookMs() : policy.busyLookMs();
+  }
+
+  /** Takes note of a worker's answer to a look that was sent at a time. */
+  public void lookAnswered(WorkerEntry entry, LookReply reply, long sentMs, long nowMs) {
+    WorkerState worker = workers.get(entry.id());
+    if (worker == null) {
+      return;
+    }
+    worker.lookInFlight = false;
+    if (reply instanceof LookReply.Seen seen) {
+      extraOrders.addAll(reports.apply(worker, seen.look(), sentMs, nowMs));
+      extraOrders.addAll(TailGuard.adjust(worker, nowMs));
+      worker.nextLookMs = nowMs + UNKEPT_LOOK_MS;
+    } else if (reply instanceof LookReply.Fenced) {
+      beFenced(worker.id());
+    } else if (reply instanceof LookReply.Missing missing) {
+      worker.nextLookMs = nowMs + RETRY_LOOK_MS;
+      if (!worker.unreachable) {
+        worker.unreachable = true;
+        log.decided("worker-silent", worker.id(), "reason=" + missing.reason());
+      }
+    }
+  }
+
+  /** Takes note of a worker's answer to a start. */
+  public void startAnswered(Order.Start start, OrderReply reply, long nowMs) {
+    Run run = start.run();
+    if (run.worker.runs.get(run.task.key) != run) {
+      return;
+    }
+    log.decided("run-answered", run, "reply=" + reply + " afterMs=" + (nowMs - run.orderedMs));
+    switch (reply) {
+      case OK -> run.confirm(nowMs);
+      case FENCED -> beFenced(run.worker.id());
+      case UNKNOWN -> {
+        // The order may be carried out later; a stop for its number rules that out.
+        if (run.stage == Run.Stage.STARTING) {
+          run.stop();
+        }
+      }
+      case UNHEALTHY, MALFORMED, OTHER_INCARNATION -> {
+        run.worker.suspend(nowMs);
+        runs.dropped(run, reply.name());
+      }
+      case RUN_SUPERSEDED, TOO_LATE, NO_ROOM, NO_PERMIT -> runs.dropped(run, reply.name());
+    }
+  }
+
+  /** Takes note of a worker's answer to a stop. */
+  public void stopAnswered(Order.Stop stop, OrderReply reply, long nowMs) {
+    WorkerState worker = workers.get(stop.worker().id());
+    Run run = worker == null ? null : worker.runs.get(stop.task());
+    if (reply == OrderReply.FENCED) {
+      beFenced(stop.worker().id());
+    }
+    if (run == null || run.number != stop.number()) {
+      return;
+    }
+    run.stopInFlight = false;
+    if (reply == OrderReply.OK) {
+      run.stopAnsweredMs = nowMs;
+    }
+  }
+
+  /** Takes note of a worker's answer to an order to pace a run. */
+  public void paceAnswered(Order.Pace pace, OrderReply reply, long nowMs) {
+    WorkerState worker = workers.get(pace.worker().id());
+    Run run = worker == null ? null : worker.runs.get(pace.task());
+    if (run == null || run.number != pace.number()) {
+      return;
+    }
+    run.paceChangedMs = nowMs;
+    if (reply == OrderReply.OK) {
+      run.pace = pace.percent();
+    } else {
+      run.orderedPace = run.pace;
+    }
+  }
+
+  private void beFenced(String workerId) {
+    if (!fenced) {
+      fenced = true;
+      log.decided("fenced", workerId, "a newer owner has used this worker");
+    }
+  }
+
+  /** Returns progress that has to be kept, or empty if there is none. */
+  public Optional<ProgressBatch> takeBatch() {
+    return jobs.hasDirty()
+        ? Optional.of(new ProgressBatch(jobs.takeDirty(JOBS_PER_COMMIT)))
+        : Optional.empty();
+  }
+
+  /** Takes note that progress is kept, under a revision. */
+  public void batchKept(ProgressBatch batch, long revision) {
+    batch.entries().forEach(entry -> jobs.kept(entry, revision));
+  }
+
+  /** Takes note of the revision under which a job's progress stands; 0 if there is none. */
+  public void revisionFound(String jobId, long revision) {
+    jobs.correctRevision(jobId, revision);
+  }
+
+  /** Forgets jobs that were over before a time and returns their ids, at most some of them. */
+  public List<String> retire(long finishedBeforeMs, int most) {
+    return jobs.retire(finishedBeforeMs, most);
+  }
+
+  /** Returns the number of jobs of a queue that no task of has started yet. */
+  public int pendingJobs(String queue) {
+    int count = 0;
+    for (JobState job : jobs.open()) {
+      if (job.spec.queue().equals(queue) && job.status == JobStatus.QUEUED) {
+        count++;
+      }
+    }
+    return count;
+  }
+
+  /** Returns the number of jobs that are not over. */
+  public int openJobs() {
+    return jobs.open().size();
+  }
+
+  Collection<WorkerState> workers() {
+    return workers.values();
+  }
+}
--- /dev/null
+++ b/src/main/java/org/plantainloom/coordination/dispatch/JobState.java
@@ -0,0 +1,132 @@
+package org.plantainloom.coordination.dispatch;
+
+import java.util.ArrayList;
+import java.util.BitSet;
+import java.util.HashMap;
+import java.util.HexFormat;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import org.plantainloom.state.job.JobProgress;
+import org.plantainloom.state.job.JobSpec;
+import org.plantainloom.state.job.JobStatus;
+import org.plantainloom.state.job.PhaseSpec;
+import org.plantainloom.state.job.TaskKey;
+
+/** What the scheduler knows of a job. */
+final class JobState {
+  final JobSpec spec;
+  final long knownSinceMs;
+  final List<List<PhaseState>> occurrences = new ArrayList<>();
+  JobStatus status = JobStatus.QUEUED;
+  long progressRevision;
+  long version;
+  long persistedVersion;
+  long finishedMs;
+
+  JobState(JobSpec spec, long nowMs) {
+    this.spec = spec;
+    this.knownSinceMs = nowMs;
+    for (int k = 0; k < spec.occurrences(); k++) {
+      List<PhaseState> phases = new ArrayList<>();
+      for (int p = 0; p < spec.phases().size(); p++) {
+        phases.add(new PhaseState(this, k, p, spec.phases().get(p)));
+      }
+      occurrences.add(phases);
+    }
+  }
+
+  void markDirty() {
+    version++;
+  }
+
+  boolean isDirty() {
+    return version > persistedVersion;
+  }
+
+  boolean isOver() {
+    return status.isFinal();
+  }
+
+  boolean isLasting() {
+    return spec.phases().stream().anyMatch(PhaseSpec::lasting);
+  }
+
+  boolean allDone() {
+    for (List<PhaseState> phases : occurrences) {
+      for (PhaseState phase : phases) {
+        if (!phase.isDone()) {
+          return false;
+        }
+      }
+    }
+    return true;
+  }
+
+  void forEachTask(Consumer<TaskState> action) {
+    occurrences.forEach(phases -> phases.forEach(phase -> phase.tasks.forEach(action)));
+  }
+
+  /** Returns the task of a key, or null if the job has no such task. */
+  TaskState task(TaskKey key) {
+    if (key.occurrence() < 0 || key.occurrence() >= occurrences.size()) {
+      return null;
+    }
+    List<PhaseState> phases = occurrences.get(key.occurrence());
+    if (key.phase() < 0 || key.phase() >= phases.size()) {
+      return null;
+    }
+    List<TaskState> tasks = phases.get(key.phase()).tasks;
+    return key.index() < 0 || key.index() >= tasks.size() ? null : tasks.get(key.index());
+  }
+
+  JobProgress progress() {
+    Map<String, String> done = new HashMap<>();
+    Map<String, List<Long>> failures = new HashMap<>();
+    Map<String, String> checkpoints = new HashMap<>();
+    if (!isOver()) {
+      occurrences.forEach(phases -> phases.forEach(phase -> collectDone(phase, done)));
+      forEachTask(
+          task -> {
+            if (!task.failures.isEmpty()) {
+              failures.put(task.key.toString(), List.copyOf(task.failures));
+            }
+            if (!task.checkpoint.isEmpty() && !task.done) {
+              checkpoints.put(task.key.toString(), task.checkpoint);
+            }
+          });
+    }
+    return new JobProgress(status, done, failures, checkpoints);
+  }
+
+  private static void collectDone(PhaseState phase, Map<String, String> done) {
+    if (phase.doneCount > 0) {
+      BitSet bits = new BitSet(phase.tasks.size());
+      for (TaskState task : phase.tasks) {
+        bits.set(task.key.index(), task.done);
+      }
+      String hex = HexFormat.of().formatHex(bits.toByteArray());
+      done.put(phase.occurrence + "." + phase.index, hex);
+    }
+  }
+
+  void restore(JobProgress progress, long revision) {
+    status = progress.status();
+    progressRevision = revision;
+    for (List<PhaseState> phases : occurrences) {
+      for (PhaseState phase : phases) {
+        String hex = progress.done().get(phase.occurrence + "." + phase.index);
+        if (hex != null) {
+          BitSet bits = BitSet.valueOf(HexFormat.of().parseHex(hex));
+          phase.tasks.stream().filter(t -> bits.get(t.key.index())).forEach(phase::markDone);
+        }
+      }
+    }
+    forEachTask(
+        task -> {
+          String key = task.key.toString();
+          task.failures.addAll(progress.failures().getOrDefault(key, List.of()));
+          task.checkpoint = progress.checkpoints().getOrDefault(key, "");
+        });
+  }
+}
--- /dev/null
+++ b/src/main/java/org/plantainloom/coordination/dispatch/RunTable.java
@@ -0,0 +1,163 @@
+package org.plantainloom.coordination.dispatch;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.plantainloom.state.job.EndKind;
+import org.plantainloom.state.job.JobStatus;
+import org.plantainloom.state.job.PhaseSpec;
+import org.plantainloom.state.job.QueueConfig;
+
+/** What the start, the end or the loss of a run means for its task and its job. */
+final class RunTable {
+  /** Pause before a task that failed runs again, so that a broken worker is noticed first. */
+  private static final long RETRY_PAUSE_MS = 50;
+
+  /** Failed ends in a row, of different jobs, after which a worker is left alone for a while. */
+  private static final int SUSPICIOUS_FAILURES = 3;
+
+  private final JobTable jobs;
+  private final DecisionLog log;
+  private final long firstRun;
+  private final ConfigSource config;
+
+  /** Gives the configuration of a queue; null if it has none. */
+  interface ConfigSource {
+    QueueConfig queue(String name);
+  }
+
+  /**
+   * Creates the table.
+   *
+   * @param firstRun number of the first run that this owner may give out
+   */
+  RunTable(JobTable jobs, DecisionLog log, long firstRun, ConfigSource config) {
+    this.jobs = jobs;
+    this.log = log;
+    this.firstRun = firstRun;
+    this.config = config;
+  }
+
+  /** Returns the number for the next run of a task. */
+  long nextNumber(TaskState task) {
+    return Math.max(task.lastRun + 1, firstRun);
+  }
+
+  Run begin(TaskState task, WorkerState worker, long number, long nowMs) {
+    Run run = new Run(task, number, worker, nowMs);
+    task.lastRun = Math.max(task.lastRun, number);
+    task.runs.add(run);
+    worker.add(run);
+    return run;
+  }
+
+  private static void forget(Run run) {
+    run.task.runs.remove(run);
+    run.worker.remove(run);
+  }
+
+  /** Takes note that a run never began or is no longer there. */
+  void dropped(Run run, String reason) {
+    forget(run);
+    log.decided("run-dropped", run, "reason=" + reason);
+  }
+
+  /** Takes note of the end of a run. */
+  void ended(Run run, EndKind kind, String checkpoint, long nowMs) {
+    forget(run);
+    TaskState task = run.task;
+    if (!checkpoint.isEmpty()) {
+      task.checkpoint = checkpoint;
+    }
+    log.decided("run-ended", run, "kind=" + kind + " ranMs=" + (nowMs - run.orderedMs));
+    settle(task, run.number, run.worker, kind, nowMs);
+  }
+
+  /** Takes note of an end of which this owner did not know the run. */
+  void endedUnknown(
+      TaskState task, long number, WorkerState worker, EndKind kind, String checkpoint, long now) {
+    task.lastRun = Math.max(task.lastRun, number);
+    if (!checkpoint.isEmpty() && task.runs.isEmpty()) {
+      task.checkpoint = checkpoint;
+    }
+    log.decided(
+        "run-ended", task.key + "#" + number + "@" + worker.id(), "kind=" + kind + " former=true");
+    settle(task, number, worker, kind, now);
+  }
+
+  private void settle(TaskState task, long number, WorkerState worker, EndKind kind, long nowMs) {
+    JobState job = task.phase.job;
+    switch (kind) {
+      case DONE -> {
+        worker.proveSound();
+        if (!task.phase.spec.lasting()) {
+          done(task, nowMs);
+        }
+      }
+      case FAILED -> {
+        if (task.failed(number)) {
+          countFailure(worker, job, nowMs);
+          failed(task, nowMs);
+        }
+      }
+      default -> log.decided("task-waits", task.key, "after=" + kind);
+    }
+  }
+
+  private void done(TaskState task, long nowMs) {
+    PhaseState phase = task.phase;
+    JobState job = phase.job;
+    if (phase.spec.gang()) {
+      phase.tasks.forEach(phase::markDone);
+    } else {
+      phase.markDone(task);
+    }
+    task.runs.forEach(Run::stop);
+    jobs.changed(job);
+    if (!job.isOver() && job.allDone()) {
+      jobs.finish(job, JobStatus.COMPLETED, nowMs);
+      log.decided("job-completed", job.spec.id(), "afterMs=" + (nowMs - job.knownSinceMs));
+    }
+  }
+
+  private void failed(TaskState task, long nowMs) {
+    PhaseSpec spec = task.phase.spec;
+    JobState job = task.phase.job;
+    task.notBeforeMs = nowMs + RETRY_PAUSE_MS;
+    jobs.changed(job);
+    QueueConfig queue = config.queue(job.spec.queue());
+    if (job.isOver() || spec.lasting() || queue == null) {
+      return;
+    }
+    int attempts = task.phase.attemptsFailed(task);
+    if (attempts >= queue.maxAttempts()) {
+      log.decided("job-failed", job.spec.id(), "task=" + task.key + " attempts=" + attempts);
+      over(job, JobStatus.FAILED, nowMs);
+    }
+  }
+
+  private void countFailure(WorkerState worker, JobState job, long nowMs) {
+    if (!job.spec.id().equals(worker.lastFailedJob)) {
+      worker.failuresInRow++;
+      worker.lastFailedJob = job.spec.id();
+    }
+    if (worker.failuresInRow >= SUSPICIOUS_FAILURES) {
+      worker.suspend(nowMs);
+      log.decided("worker-suspended", worker.id(), "reason=failures job=" + job.spec.id());
+    }
+  }
+
+  /** Ends a job before its work is done; what still runs is to be stopped. */
+  void over(JobState job, JobStatus status, long nowMs) {
+    jobs.finish(job, status, nowMs);
+    job.forEachTask(task -> task.runs.forEach(Run::stop));
+  }
+
+  /** Takes note that nothing of a worker's runs exists any more. */
+  void lostAll(WorkerState worker, String reason, long nowMs) {
+    List<Run> lost = new ArrayList<>(worker.runs.values());
+    if (!lost.isEmpty()) {
+      log.decided("worker-lost", worker.id(), "reason=" + reason + " runs=" + lost.size());
+    }
+    lost.forEach(run -> ended(run, EndKind.LOST, "", nowMs));
+  }
+}
--- /dev/null
+++ b/src/main/java/org/plantainloom/coordination/dispatch/TaskState.java
@@ -0,0 +1,35 @@
+package org.plantainloom.coordination.dispatch;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.plantainloom.state.job.TaskKey;
+
+/** What the scheduler knows of a task. */
+final class TaskState {
+  final TaskKey key;
+  final PhaseState phase;
+  final List<Run> runs = new ArrayList<>(1);
+  final List<Long> failures = new ArrayList<>(0);
+  boolean done;
+  String checkpoint = "";
+  long lastRun;
+  long notBeforeMs;
+
+  TaskState(TaskKey key, PhaseState phase) {
+    this.key = key;
+    this.phase = phase;
+  }
+
+  boolean isPending() {
+    return !done && runs.isEmpty();
+  }
+
+  /** Takes note of a failed run; false if it was known. */
+  boolean failed(long run) {
+    if (failures.contains(run)) {
+      return false;
+    }
+    failures.add(run);
+    return true;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/plantainloom/coordination/dispatch/WorkerReports.java
@@ -0,0 +1,151 @@
+package org.plantainloom.coordination.dispatch;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.plantainloom.state.job.RunEnd;
+import org.plantainloom.state.job.RunningTask;
+import org.plantainloom.state.job.TaskKey;
+import org.plantainloom.state.job.WorkerLook;
+
+/**
+ * Brings what the scheduler believes of a worker in line with what the worker told.
+ *
+ * <p>Runs that a former owner started are taken over; runs that should not be there are stopped;
+ * runs that are neither running nor ended although they were confirmed before the look was sent are
+ * lost.
+ */
+final class WorkerReports {
+  private final JobTable jobs;
+  private final RunTable runs;
+  private final DecisionLog log;
+  private final DispatchPolicy policy;
+
+  WorkerReports(JobTable jobs, RunTable runs, DecisionLog log, DispatchPolicy policy) {
+    this.jobs = jobs;
+    this.runs = runs;
+    this.log = log;
+    this.policy = policy;
+  }
+
+  /**
+   * Applies a look.
+   *
+   * @param sentMs when the look was sent; what happened later may not show in it
+   * @return orders that stop runs which should not be there
+   */
+  List<Order> apply(WorkerState worker, WorkerLook look, long sentMs, long nowMs) {
+    noticeIncarnation(worker, look, nowMs);
+    if (!worker.isClockKnown() || look.clockMs() >= worker.clockAt(nowMs) - policy.leaseMs()) {
+      worker.clockMs = look.clockMs();
+      worker.clockReadMs = nowMs;
+    }
+    worker.lastAnswerMs = nowMs;
+    if (worker.unreachable) {
+      worker.unreachable = false;
+      log.decided("worker-regained", worker.id(), "runs=" + worker.runs.size());
+    }
+    worker.confirmed = true;
+    Set<TaskKey> ended = applyEnds(worker, look.ended(), nowMs);
+    List<Order> orders = new ArrayList<>();
+    Set<TaskKey> running = new HashSet<>();
+    for (RunningTask row : look.running()) {
+      running.add(row.task());
+      if (!ended.contains(row.task())) {
+        applyRunning(worker, row, orders, nowMs);
+      }
+    }
+    dropMissing(worker, running, sentMs);
+    return orders;
+  }
+
+  private void noticeIncarnation(WorkerState worker, WorkerLook look, long nowMs) {
+    if (look.startedAtMs() != 0 && look.startedAtMs() != worker.incarnation) {
+      if (worker.incarnation != 0) {
+        runs.lostAll(worker, "restarted", nowMs);
+      }
+      worker.reborn(look.startedAtMs());
+    }
+  }
+
+  private Set<TaskKey> applyEnds(WorkerState worker, List<RunEnd> ends, long nowMs) {
+    Set<TaskKey> tasks = new HashSet<>();
+    for (RunEnd end : ends) {
+      if (end.number() <= worker.endsSeen) {
+        continue;
+      }
+      worker.endsSeen = end.number();
+      tasks.add(end.task());
+      JobState job = jobs.job(end.task().jobId());
+      TaskState task = job == null ? null : job.task(end.task());
+      if (task == null) {
+        worker.unkept.add(new WorkerState.UnkeptEnd(end.number(), null, 0));
+        continue;
+      }
+      Run run = worker.runs.get(end.task());
+      if (run != null && run.number == end.run()) {
+        runs.ended(run, end.kind(), end.checkpoint(), nowMs);
+      } else {
+        runs.endedUnknown(task, end.run(), worker, end.kind(), end.checkpoint(), nowMs);
+      }
+      JobState waitsFor = end.kind().mustPersist() && job.isDirty() ? job : null;
+      worker.unkept.add(new WorkerState.UnkeptEnd(end.number(), waitsFor, job.version));
+    }
+    return tasks;
+  }
+
+  private void applyRunning(WorkerState worker, RunningTask row, List<Order> orders, long nowMs) {
+    Run run = worker.runs.get(row.task());
+    if (run == null || run.number != row.run()) {
+      run = adopt(worker, row, run, orders, nowMs);
+      if (run == null) {
+        return;
+      }
+    }
+    run.confirm(nowMs);
+    run.progress(row.percent(), nowMs);
+    run.recent = row.recent();
+    if (!row.checkpoint().isEmpty()) {
+      run.task.checkpoint = row.checkpoint();
+    }
+  }
+
+  /** Takes over a run that this owner did not start, or orders it to stop. */
+  private Run adopt(
+      WorkerState worker, RunningTask row, Run known, List<Order> orders, long nowMs) {
+    JobState job = jobs.job(row.task().jobId());
+    TaskState task = job == null ? null : job.task(row.task());
+    boolean wanted =
+        task != null && known == null && !job.isOver() && task.isPending() && !task.done;
+    if (!wanted) {
+      if (task != null) {
+        task.lastRun = Math.max(task.lastRun, row.run());
+      }
+      log.decided("run-unwanted", row.task() + "#" + row.run() + "@" + worker.id(), "stopped");
+      orders.add(new Order.Stop(worker.entry, row.task(), row.run()));
+      return null;
+    }
+    log.decided("run-adopted", row.task() + "#" + row.run() + "@" + worker.id(), "");
+    Run run = runs.begin(task, worker, row.run(), nowMs);
+    run.confirm(nowMs);
+    return run;
+  }
+
+  private void dropMissing(WorkerState worker, Set<TaskKey> running, long sentMs) {
+    for (Run run : new ArrayList<>(worker.runs.values())) {
+      if (running.contains(run.task.key)) {
+        continue;
+      }
+      boolean vanished =
+          run.stage == Run.Stage.RUNNING && run.confirmedMs < sentMs - policy.stopGraceMs();
+      boolean stopped =
+          run.isStopping()
+              && run.stopAnsweredMs >= 0
+              && run.stopAnsweredMs + policy.stopGraceMs() < sentMs;
+      if (vanished || stopped) {
+        runs.dropped(run, vanished ? "not listed" : "stopped");
+      }
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/plantainloom/coordination/dispatch/WorkerState.java
@@ -0,0 +1,143 @@
+package org.plantainloom.coordination.dispatch;
+
+import java.util.ArrayDeque;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.Map;
+import java.util.Queue;
+import org.plantainloom.state.ResourceVector;
+import org.plantainloom.state.job.TaskKey;
+import org.plantainloom.state.job.WorkerEntry;
+
+/** What the scheduler knows of a worker. */
+final class WorkerState {
+  /** First time that a worker which misbehaves is left alone, in milliseconds; doubles. */
+  private static final long FIRST_SUSPENSION_MS = 2_000;
+
+  private static final long LONGEST_SUSPENSION_MS = 16_000;
+
+  WorkerEntry entry;
+  boolean registered = true;
+
+  /** Whether the store lists this worker, so that a later owner will look at it. */
+  boolean persisted;
+
+  /** Whether it has answered a look that carried the present fencing token. */
+  boolean confirmed;
+
+  boolean unreachable;
+  long incarnation;
+  long clockMs;
+  long clockReadMs = -1;
+  long leaseOverMs;
+  long lastAnswerMs;
+  long endsSeen;
+  long acknowledged;
+  boolean lookInFlight;
+  long nextLookMs;
+  int failuresInRow;
+  String lastFailedJob = "";
+  long suspendedUntilMs;
+  private long suspensionMs = FIRST_SUSPENSION_MS;
+  final Map<TaskKey, Run> runs = new HashMap<>();
+  final Queue<UnkeptEnd> unkept = new ArrayDeque<>();
+  private ResourceVector reserved = ResourceVector.ZERO;
+  private int fillCpuMillis;
+
+  /** An end that may be acknowledged once a version of its job is kept; null for no job. */
+  record UnkeptEnd(long number, JobState job, long version) {}
+
+  WorkerState(WorkerEntry entry, long nowMs) {
+    this.entry = entry;
+    this.incarnation = entry.startedAtMs();
+    this.lastAnswerMs = nowMs;
+    this.nextLookMs = nowMs;
+  }
+
+  String id() {
+    return entry.id();
+  }
+
+  ResourceVector reserved() {
+    return reserved;
+  }
+
+  /** Returns the processor time that neither reservations nor fill tasks use. */
+  int idleCpuMillis() {
+    return entry.capacity().cpuMillis() - reserved.cpuMillis() - fillCpuMillis;
+  }
+
+  int fillCpuMillis() {
+    return fillCpuMillis;
+  }
+
+  void add(Run run) {
+    runs.put(run.task.key, run);
+    reserve(run, 1);
+  }
+
+  void remove(Run run) {
+    if (runs.remove(run.task.key, run)) {
+      reserve(run, -1);
+    }
+  }
+
+  private void reserve(Run run, int sign) {
+    ResourceVector need = run.task.phase.spec.need();
+    if (run.task.phase.spec.fillsIdleCpu()) {
+      fillCpuMillis += sign * need.cpuMillis();
+      need = new ResourceVector(0, need.memoryMb(), need.accelerators());
+    }
+    reserved = sign > 0 ? reserved.plus(need) : reserved.minus(need);
+  }
+
+  /** Returns the worker's clock now, in milliseconds; at most a message's way behind. */
+  long clockAt(long nowMs) {
+    return clockMs + (nowMs - clockReadMs);
+  }
+
+  boolean isClockKnown() {
+    return clockReadMs >= 0;
+  }
+
+  /** Takes note that an order or a look extends the lease. */
+  void leaseExtended(long nowMs, DispatchPolicy policy) {
+    leaseOverMs = Math.max(leaseOverMs, nowMs + policy.longestLeaseMs());
+  }
+
+  /** Moves the acknowledgement up to the first end that is not kept yet. */
+  boolean advanceAcknowledged() {
+    long before = acknowledged;
+    for (Iterator<UnkeptEnd> it = unkept.iterator(); it.hasNext(); ) {
+      UnkeptEnd end = it.next();
+      if (end.job() != null && end.job().persistedVersion < end.version()) {
+        break;
+      }
+      acknowledged = end.number();
+      it.remove();
+    }
+    return acknowledged > before;
+  }
+
+  void suspend(long nowMs) {
+    suspendedUntilMs = nowMs + suspensionMs;
+    suspensionMs = Math.min(suspensionMs * 2, LONGEST_SUSPENSION_MS);
+    failuresInRow = 0;
+  }
+
+  void proveSound() {
+    failuresInRow = 0;
+    suspensionMs = FIRST_SUSPENSION_MS;
+  }
+
+  /** Forgets all that an earlier life of the worker knew. */
+  void reborn(long startedAtMs) {
+    incarnation = startedAtMs;
+    endsSeen = 0;
+    acknowledged = 0;
+    unkept.clear();
+    clockReadMs = -1;
+    suspendedUntilMs = 0;
+    proveSound();
+  }
+}
--- /dev/null
+++ b/src/main/java/org/plantainloom/platform/NodeSettings.java
@@ -0,0 +1,45 @@
+package org.plantainloom.platform;
+
+import org.plantainloom.protocol.document.DocumentReader;
+import org.plantainloom.protocol.document.InvalidDocumentException;
+
+/**
+ * Settings of a node, as the platform renders them from {@code deploy/node.jsonc}.
+ *
+ * @param name the node's name
+ * @param callerAddress host and port for callers
+ * @param readinessAddress host and port for the balancer's check
+ * @param controlAddress host and port for other nodes and metrics
+ * @param storeAddress host and port of the platform's store
+ * @param maxLeaseMs longest lease that workers grant, in milliseconds
+ * @param stopGraceMs longest time a worker takes to stop a run, in milliseconds
+ * @param stopWithinMs time between the request to stop and the kill, in milliseconds
+ */
+public record NodeSettings(
+    String name,
+    String callerAddress,
+    String readinessAddress,
+    String controlAddress,
+    String storeAddress,
+    int maxLeaseMs,
+    int stopGraceMs,
+    int stopWithinMs) {
+  private static final int MAX_MS = 600_000;
+  private static final int MAX_S = 600;
+
+  /** Reads the settings from a document's root. */
+  public static NodeSettings read(DocumentReader root) throws InvalidDocumentException {
+    NodeSettings settings =
+        new NodeSettings(
+            root.name("name"),
+            root.text("callerAddress"),
+            root.text("readinessAddress"),
+            root.text("controlAddress"),
+            root.text("storeAddress"),
+            root.integer("maxLeaseMs", 1, MAX_MS),
+            root.integer("stopGraceMs", 1, MAX_MS),
+            root.integer("stopWithinS", 1, MAX_S) * 1_000);
+    root.finish();
+    return settings;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/plantainloom/platform/PlatformCodec.java
@@ -0,0 +1,115 @@
+package org.plantainloom.platform;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.plantainloom.state.ResourceVector;
+import org.plantainloom.state.job.ClusterCodec;
+import org.plantainloom.state.job.ClusterConfig;
+import org.plantainloom.state.job.QueueConfig;
+import org.plantainloom.state.job.WorkerEntry;
+
+/** The keys and texts that the platform's operators and workers write. */
+public final class PlatformCodec implements ClusterCodec {
+  private static final String OPERATOR_PREFIX = "op/";
+  private static final String CONFIG_KEY = "op/config";
+  private static final String EVACUATE_PREFIX = "op/evacuate/";
+  private static final String WORKER_PREFIX = "servers/";
+  private static final int DEFAULT_BODY_BYTES = 262_144;
+
+  @Override
+  public String operatorPrefix() {
+    return OPERATOR_PREFIX;
+  }
+
+  @Override
+  public String workerPrefix() {
+    return WORKER_PREFIX;
+  }
+
+  @Override
+  public Optional<ClusterConfig> config(String key, String text) {
+    return key.equals(CONFIG_KEY)
+        ? WireJson.parse(text).map(PlatformCodec::config)
+        : Optional.empty();
+  }
+
+  private static ClusterConfig config(JsonNode root) {
+    List<QueueConfig> queues = new ArrayList<>();
+    root.path("routes").forEach(node -> queues.add(queue(node)));
+    List<String> guarded = new ArrayList<>();
+    for (JsonNode service : root.path("services")) {
+      if (service.path("preconditions").asBoolean()) {
+        guarded.add(service.path("name").asText());
+      }
+    }
+    return new ClusterConfig(
+        root.path("version").asLong(),
+        queues,
+        guarded,
+        root.path("limits").path("max-body-bytes").asInt(DEFAULT_BODY_BYTES));
+  }
+
+  private static QueueConfig queue(JsonNode node) {
+    return new QueueConfig(
+        node.path("name").asText(),
+        node.path("host").asText(),
+        node.path("prefix").asText(),
+        node.path("service").asText(),
+        node.path("priority").asInt(),
+        node.path("max-attempts").asInt(1),
+        node.path("stretch-factor").asDouble(1),
+        node.path("target-duration-ms").asLong(),
+        node.path("timeout-ms").asLong(),
+        node.path("recommendation").isObject());
+  }
+
+  @Override
+  public Optional<String> withdrawnZone(String key) {
+    return key.startsWith(EVACUATE_PREFIX)
+        ? Optional.of(key.substring(EVACUATE_PREFIX.length()))
+        : Optional.empty();
+  }
+
+  @Override
+  public Optional<WorkerEntry> worker(String key, String text) {
+    return WireJson.parse(text).filter(PlatformCodec::isUsable).map(node -> worker(key, node));
+  }
+
+  /** Other writers may leave entries that name no worker. */
+  private static boolean isUsable(JsonNode node) {
+    JsonNode capacity = node.path("capacity");
+    String state = node.path("state").asText();
+    return node.path("service").isTextual()
+        && node.path("address").isTextual()
+        && node.path("address").asText().contains(":")
+        && node.path("zone").isTextual()
+        && node.path("state").isTextual()
+        && (state.equals("ready") || state.equals("draining"))
+        && capacity.path("cpu").isNumber()
+        && capacity.path("mem-mb").isNumber()
+        && node.path("labels").isArray();
+  }
+
+  private WorkerEntry worker(String key, JsonNode node) {
+    JsonNode capacity = node.path("capacity");
+    return new WorkerEntry(
+        workerId(key),
+        node.path("service").asText(),
+        node.path("address").asText(),
+        node.path("zone").asText(),
+        node.path("state").asText().equals("draining"),
+        new ResourceVector(
+            capacity.path("cpu").asInt(),
+            capacity.path("mem-mb").asInt(),
+            capacity.path("gpu").asInt()),
+        WireJson.texts(node.path("labels")),
+        node.path("born").asLong());
+  }
+
+  @Override
+  public String workerId(String key) {
+    return key.substring(WORKER_PREFIX.length());
+  }
+}
--- /dev/null
+++ b/src/main/java/org/plantainloom/platform/PlatformStore.java
@@ -0,0 +1,227 @@
+package org.plantainloom.platform;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.linecorp.armeria.common.HttpMethod;
+import com.linecorp.armeria.common.RequestHeaders;
+import java.net.URLEncoder;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Base64;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.plantainloom.state.store.CommitReply;
+import org.plantainloom.state.store.LeaseReply;
+import org.plantainloom.state.store.LeasedStore;
+import org.plantainloom.state.store.StoreEvent;
+import org.plantainloom.state.store.StoreItem;
+import org.plantainloom.state.store.StoreRead;
+import org.plantainloom.state.store.Transaction;
+import org.plantainloom.state.store.WatchReply;
+
+/** The platform's metadata store. */
+public final class PlatformStore implements LeasedStore {
+  /** A slow store answers 60 times later than its usual 4 ms; with the way that is under 300 ms. */
+  private static final long CALL_TIMEOUT_MS = 1_200;
+
+  /** A lease that could not be renewed in this time is asked for again. */
+  private static final long RENEW_TIMEOUT_MS = 900;
+
+  /** What the way and a busy store may add to a waiting watch. */
+  private static final long WATCH_SLACK_MS = 800;
+
+  private final WireClient client;
+  private final String address;
+
+  /** Creates the store at host and port. */
+  public PlatformStore(WireClient client, String address) {
+    this.client = client;
+    this.address = address;
+  }
+
+  @Override
+  public CompletableFuture<StoreRead> read(String key) {
+    return client
+        .get(address, "/-/kv-key?key=" + encoded(key), CALL_TIMEOUT_MS)
+        .thenApply(PlatformStore::single);
+  }
+
+  private static StoreRead single(WireReply reply) {
+    if (reply.status() == 404) {
+      return new StoreRead.Found(List.of(), 0);
+    }
+    Optional<JsonNode> body = reply.isOk() ? WireJson.parse(reply.body()) : Optional.empty();
+    return body.isEmpty()
+        ? new StoreRead.Unavailable(reply.summary())
+        : new StoreRead.Found(List.of(item(body.get())), body.get().path("at").asLong());
+  }
+
+  @Override
+  public CompletableFuture<StoreRead> list(String prefix) {
+    return page(prefix, "", new ArrayList<>(), 0);
+  }
+
+  /** Reads page after page; the first page's revision is kept, as pages are not one snapshot. */
+  private CompletableFuture<StoreRead> page(
+      String prefix, String after, List<StoreItem> items, long firstAt) {
+    String path = "/-/kv-range?prefix=" + encoded(prefix);
+    return client
+        .get(address, after.isEmpty() ? path : path + "&after=" + encoded(after), CALL_TIMEOUT_MS)
+        .thenCompose(
+            reply -> {
+              Optional<JsonNode> body =
+                  reply.isOk() ? WireJson.parse(reply.body()) : Optional.empty();
+              if (body.isEmpty()) {
+                return CompletableFuture.completedFuture(
+                    new StoreRead.Unavailable(reply.summary()));
+              }
+              body.get().path("items").forEach(node -> items.add(item(node)));
+              long at = firstAt == 0 ? body.get().path("at").asLong() : firstAt;
+              return body.get().path("has-more").asBoolean() && !items.isEmpty()
+                  ? page(prefix, items.get(items.size() - 1).key(), items, at)
+                  : CompletableFuture.completedFuture(new StoreRead.Found(items, at));
+            });
+  }
+
+  @Override
+  public CompletableFuture<WatchReply> watch(String prefix, long after, long waitMs) {
+    String path =
+        "/-/kv-watch?prefix=" + encoded(prefix) + "&after=" + after + "&wait-ms=" + waitMs;
+    return client
+        .get(address, path, waitMs + WATCH_SLACK_MS)
+        .thenApply(
+            reply -> {
+              if (reply.status() == 410) {
+                return new WatchReply.HistoryLost();
+              }
+              Optional<JsonNode> body =
+                  reply.isOk() ? WireJson.parse(reply.body()) : Optional.empty();
+              if (body.isEmpty()) {
+                return new WatchReply.Unavailable(reply.summary());
+              }
+              List<StoreEvent> events = new ArrayList<>();
+              body.get().path("events").forEach(node -> events.add(event(node)));
+              return new WatchReply.Changes(events, body.get().path("at").asLong(after));
+            });
+  }
+
+  @Override
+  public CompletableFuture<CommitReply> commit(Transaction transaction) {
+    return client
+        .post(address, "/-/kv-txn", body(transaction), CALL_TIMEOUT_MS)
+        .thenApply(PlatformStore::commitReply);
+  }
+
+  private static CommitReply commitReply(WireReply reply) {
+    if (reply.isRefused() || reply.status() == 404 || reply.status() == 403) {
+      return new CommitReply.Refused(reply.summary());
+    }
+    Optional<JsonNode> body = WireJson.parse(reply.body());
+    if (reply.isOk() && body.isPresent()) {
+      return new CommitReply.Committed(body.get().path("revision").asLong());
+    }
+    if (reply.status() == 412 && body.isPresent()) {
+      List<StoreItem> current = new ArrayList<>();
+      body.get().path("items").forEach(node -> current.add(item(node)));
+      return new CommitReply.Conflict(current);
+    }
+    return reply.status() == 400
+        ? new CommitReply.Refused(reply.summary())
+        : new CommitReply.Unknown(reply.summary());
+  }
+
+  private static String body(Transaction transaction) {
+    ObjectNode body = WireJson.object();
+    ArrayNode expected = body.putArray("expected-rev");
+    transaction
+        .expected()
+        .forEach((key, revision) -> expected.addObject().put("key", key).put("revision", revision));
+    ArrayNode writes = body.putArray("writes");
+    transaction
+        .writes()
+        .forEach(
+            (key, value) -> {
+              ObjectNode write = writes.addObject().put("key", key).put("value", base64(value));
+              if (transaction.leaseOf(key) != 0) {
+                write.put("lease-id", transaction.leaseOf(key));
+              }
+            });
+    ArrayNode removals = body.putArray("remove");
+    transaction.removals().forEach(removals::add);
+    return body.toString();
+  }
+
+  @Override
+  public CompletableFuture<LeaseReply> grantLease(long ttlMs) {
+    String body = WireJson.object().put("ttl-ms", ttlMs).toString();
+    return client
+        .post(address, "/-/kv-lease", body, CALL_TIMEOUT_MS)
+        .thenApply(reply -> lease(reply, 0));
+  }
+
+  @Override
+  public CompletableFuture<LeaseReply> renewLease(long leaseId) {
+    return client
+        .post(address, "/-/kv-keep/" + leaseId, "", RENEW_TIMEOUT_MS)
+        .thenApply(reply -> lease(reply, leaseId));
+  }
+
+  @Override
+  public CompletableFuture<LeaseReply> endLease(long leaseId) {
+    String path = "/-/kv-lease-end/" + leaseId;
+    return client
+        .send(
+            RequestHeaders.builder(HttpMethod.DELETE, WireClient.url(address, path)),
+            "",
+            CALL_TIMEOUT_MS)
+        .thenApply(
+            reply ->
+                reply.isOk()
+                    ? new LeaseReply.Ended()
+                    : new LeaseReply.Unavailable(reply.summary()));
+  }
+
+  private static LeaseReply lease(WireReply reply, long knownId) {
+    if (reply.status() == 404) {
+      return new LeaseReply.Ended();
+    }
+    Optional<JsonNode> body = reply.isOk() ? WireJson.parse(reply.body()) : Optional.empty();
+    return body.isEmpty()
+        ? new LeaseReply.Unavailable(reply.summary())
+        : new LeaseReply.Held(
+            body.get().path("lease-id").asLong(knownId), body.get().path("ttl-ms").asLong());
+  }
+
+  private static StoreItem item(JsonNode node) {
+    return new StoreItem(
+        node.path("key").asText(),
+        text(node.path("value").asText()),
+        node.path("revision").asLong());
+  }
+
+  /** An event without a value tells that its key was removed. */
+  private static StoreEvent event(JsonNode node) {
+    Optional<String> value =
+        node.hasNonNull("value") ? Optional.of(text(node.get("value").asText())) : Optional.empty();
+    return new StoreEvent(node.path("key").asText(), value, node.path("revision").asLong());
+  }
+
+  private static String text(String base64) {
+    try {
+      return new String(Base64.getDecoder().decode(base64), StandardCharsets.UTF_8);
+    } catch (IllegalArgumentException e) {
+      // Not written by this system; the reader of the key rejects the empty text and logs it.
+      return "";
+    }
+  }
+
+  private static String base64(String text) {
+    return Base64.getEncoder().encodeToString(text.getBytes(StandardCharsets.UTF_8));
+  }
+
+  private static String encoded(String text) {
+    return URLEncoder.encode(text, StandardCharsets.UTF_8);
+  }
+}
--- /dev/null
+++ b/src/main/java/org/plantainloom/program/node/package-info.java
@@ -0,0 +1,2 @@
+/** The program that runs on each VM of the users' platform. */
+package org.plantainloom.program.node;
--- /dev/null
+++ b/src/main/java/org/plantainloom/state/job/JobSpec.java
@@ -0,0 +1,36 @@
+package org.plantainloom.state.job;
+
+import java.util.List;
+
+/**
+ * An accepted job, as it is kept in the store.
+ *
+ * @param id the id that the caller chose; 16 hexadecimal digits
+ * @param queue name of the queue that took it
+ * @param payload text handed to each task unchanged
+ * @param phases the phases
+ * @param acceptedMs when it was accepted, in milliseconds since the epoch
+ * @param startAtMs when the first occurrence is due; 0 for at once
+ * @param periodMs time between occurrences in milliseconds
+ * @param repeatCount number of occurrences; 0 for a job that is not timed
+ */
+public record JobSpec(
+    String id,
+    String queue,
+    String payload,
+    List<PhaseSpec> phases,
+    long acceptedMs,
+    long startAtMs,
+    long periodMs,
+    int repeatCount) {
+
+  /** Returns the number of times that the phases run. */
+  public int occurrences() {
+    return Math.max(1, repeatCount);
+  }
+
+  /** Returns when an occurrence is due, in milliseconds since the epoch; 0 for at once. */
+  public long dueMs(int occurrence) {
+    return repeatCount == 0 ? 0 : startAtMs + occurrence * periodMs;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/plantainloom/state/store/package-info.java
@@ -0,0 +1,2 @@
+/** Port to a store with transactions, leases and watches. */
+package org.plantainloom.state.store;
--- /dev/null
+++ b/src/main/java/org/plantainloom/transport/dispatch/JobDesk.java
@@ -0,0 +1,135 @@
+package org.plantainloom.transport.dispatch;
+
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.jboss.logging.Logger;
+import org.plantainloom.protocol.Json;
+import org.plantainloom.state.job.JobProgress;
+import org.plantainloom.state.job.JobSpec;
+import org.plantainloom.state.job.JobStatus;
+import org.plantainloom.state.store.CommitReply;
+import org.plantainloom.state.store.LeasedStore;
+import org.plantainloom.state.store.StoreItem;
+import org.plantainloom.state.store.StoreRead;
+import org.plantainloom.state.store.Transaction;
+
+/** Accepts, cancels and shows jobs on any node; the store decides, not the node. */
+final class JobDesk {
+  private static final Logger LOG = Logger.getLogger(JobDesk.class);
+
+  private final LeasedStore store;
+
+  JobDesk(LeasedStore store) {
+    this.store = store;
+  }
+
+  /** Keeps a job under its id; a repeated submission of the same id is the same job. */
+  CompletableFuture<DeskReply> submit(JobSpec spec) {
+    String key = StoreKeys.job(spec.id());
+    Transaction transaction = Transaction.start().expectAbsent(key).write(key, Json.write(spec));
+    return store
+        .commit(transaction)
+        .thenCompose(
+            reply -> {
+              if (reply instanceof CommitReply.Committed committed) {
+                return done(spec.id(), "accepted", "revision=" + committed.revision());
+              } else if (reply instanceof CommitReply.Conflict) {
+                return done(spec.id(), "accepted", "repeated=true");
+              } else if (reply instanceof CommitReply.Refused refused) {
+                return answer(spec.id(), DeskReply.UNAVAILABLE, refused.reason());
+              } else {
+                return readBack(spec);
+              }
+            });
+  }
+
+  /** Finds out whether a write without an answer was carried out. */
+  private CompletableFuture<DeskReply> readBack(JobSpec spec) {
+    return store
+        .read(StoreKeys.job(spec.id()))
+        .thenCompose(
+            read ->
+                read instanceof StoreRead.Found found && !found.items().isEmpty()
+                    ? done(spec.id(), "accepted", "readBack=true")
+                    : answer(spec.id(), DeskReply.UNKNOWN, "no answer of the store"));
+  }
+
+  /** Cancels a job. */
+  CompletableFuture<DeskReply> cancel(String jobId) {
+    return store
+        .read(StoreKeys.job(jobId))
+        .thenCompose(
+            read -> {
+              if (!(read instanceof StoreRead.Found found)) {
+                return answer(jobId, DeskReply.UNAVAILABLE, "cancel: " + read);
+              }
+              Optional<StoreItem> job = found.items().stream().findFirst();
+              return job.isEmpty()
+                  ? answer(jobId, DeskReply.NO_SUCH_JOB, "cancel")
+                  : cancel(jobId, job.get().revision());
+            });
+  }
+
+  private CompletableFuture<DeskReply> cancel(String jobId, long jobRevision) {
+    Transaction transaction =
+        Transaction.start()
+            .expect(StoreKeys.job(jobId), jobRevision)
+            .write(StoreKeys.cancel(jobId), "{}");
+    return store
+        .commit(transaction)
+        .thenCompose(
+            reply -> {
+              if (reply instanceof CommitReply.Committed) {
+                return done(jobId, "cancel-accepted", "");
+              } else if (reply instanceof CommitReply.Refused refused) {
+                return answer(jobId, DeskReply.UNAVAILABLE, refused.reason());
+              } else if (reply instanceof CommitReply.Conflict) {
+                return answer(jobId, DeskReply.NO_SUCH_JOB, "cancel: retired meanwhile");
+              }
+              return answer(jobId, DeskReply.UNKNOWN, "cancel: no answer of the store");
+            });
+  }
+
+  /** Returns what has become of a job. */
+  CompletableFuture<DeskReply> status(String jobId) {
+    return store
+        .read(StoreKeys.progress(jobId))
+        .thenCompose(
+            read -> {
+              if (!(read instanceof StoreRead.Found found)) {
+                return answer(jobId, DeskReply.UNAVAILABLE, "status: " + read);
+              }
+              return found.items().isEmpty()
+                  ? statusWithoutProgress(jobId)
+                  : shown(Json.read(found.items().get(0).value(), JobProgress.class).status());
+            });
+  }
+
+  private CompletableFuture<DeskReply> statusWithoutProgress(String jobId) {
+    return store
+        .read(StoreKeys.job(jobId))
+        .thenCompose(
+            read -> {
+              if (!(read instanceof StoreRead.Found found)) {
+                return answer(jobId, DeskReply.UNAVAILABLE, "status: " + read);
+              }
+              return found.items().isEmpty()
+                  ? answer(jobId, DeskReply.NO_SUCH_JOB, "status")
+                  : shown(JobStatus.QUEUED);
+            });
+  }
+
+  private static CompletableFuture<DeskReply> shown(JobStatus status) {
+    return CompletableFuture.completedFuture(DeskReply.shown(status));
+  }
+
+  private static CompletableFuture<DeskReply> done(String jobId, String event, String detail) {
+    LOG.infof("event=%s id=%s %s", event, jobId, detail);
+    return CompletableFuture.completedFuture(DeskReply.DONE);
+  }
+
+  private static CompletableFuture<DeskReply> answer(String jobId, DeskReply reply, String reason) {
+    LOG.warnf("event=not-served id=%s answer=%s reason=%s", jobId, reply.kind(), reason);
+    return CompletableFuture.completedFuture(reply);
+  }
+}
--- /dev/null
+++ b/src/main/java/org/plantainloom/transport/dispatch/NodeContext.java
@@ -0,0 +1,37 @@
+package org.plantainloom.transport.dispatch;
+
+import com.codahale.metrics.MetricRegistry;
+import org.plantainloom.coordination.dispatch.DispatchPolicy;
+import org.plantainloom.state.job.ClusterCodec;
+import org.plantainloom.state.job.TaskWorkers;
+import org.plantainloom.state.store.LeasedStore;
+
+/**
+ * What the parts of a node share.
+ *
+ * @param name the node's name
+ * @param controlAddress host and port at which other nodes reach it
+ * @param store the platform's store
+ * @param workers the workers
+ * @param codec reads what operators and workers wrote
+ * @param policy times and limits of the dispatcher
+ * @param metrics the node's metrics
+ */
+public record NodeContext(
+    String name,
+    String controlAddress,
+    LeasedStore store,
+    TaskWorkers workers,
+    ClusterCodec codec,
+    DispatchPolicy policy,
+    MetricRegistry metrics) {
+  /** Returns a steady clock in milliseconds. */
+  static long nowMs() {
+    return System.nanoTime() / 1_000_000;
+  }
+
+  /** Returns the time of day in milliseconds since the epoch. */
+  static long wallMs() {
+    return System.currentTimeMillis();
+  }
+}
--- /dev/null
+++ b/src/main/java/org/plantainloom/transport/dispatch/OwnerSession.java
@@ -0,0 +1,324 @@
+package org.plantainloom.transport.dispatch;
+
+import com.codahale.metrics.Counter;
+import com.codahale.metrics.Timer;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.jboss.logging.Logger;
+import org.plantainloom.coordination.dispatch.DecisionLog;
+import org.plantainloom.coordination.dispatch.Dispatcher;
+import org.plantainloom.coordination.dispatch.Order;
+import org.plantainloom.protocol.Json;
+import org.plantainloom.protocol.MalformedMessageException;
+import org.plantainloom.state.job.JobProgress;
+import org.plantainloom.state.job.JobSpec;
+import org.plantainloom.state.job.WorkerEntry;
+import org.plantainloom.state.store.StoreEvent;
+import org.plantainloom.state.store.StoreItem;
+import org.plantainloom.state.store.StoreRead;
+import org.plantainloom.transport.duty.Duty;
+
+/**
+ * One ownership of the workers: reads what was accepted before, then feeds the dispatcher and sends
+ * its orders until the ownership ends.
+ */
+final class OwnerSession implements AutoCloseable {
+  private static final Logger LOG = Logger.getLogger(OwnerSession.class);
+  private static final long RETRY_READ_MS = 200;
+
+  private final NodeContext node;
+  private final Duty duty;
+  private final PrefixWatch.Delays delays;
+  private final Ownership ownership;
+  private final ClusterView cluster;
+  private final DecisionLog log;
+  private final Dispatcher dispatcher;
+  private final ProgressKeeper keeper;
+  private final long fencingToken;
+  private final Set<String> knownFromStore = new HashSet<>();
+  private final List<PrefixWatch> watches = new ArrayList<>();
+  private final Counter starts;
+  private final Timer startAnswers;
+  private boolean loaded;
+  private boolean pumping;
+  private boolean closed;
+
+  OwnerSession(
+      NodeContext node,
+      Duty duty,
+      PrefixWatch.Delays delays,
+      Ownership ownership,
+      ClusterView cluster,
+      Ownership.Held held) {
+    this.node = node;
+    this.duty = duty;
+    this.delays = delays;
+    this.ownership = ownership;
+    this.cluster = cluster;
+    this.fencingToken = held.record().term();
+    this.log = (event, subject, detail) -> LOG.infof("event=%s id=%s %s", event, subject, detail);
+    this.dispatcher = new Dispatcher(held.record().term(), node.policy(), log, NodeContext.nowMs());
+    this.keeper = new ProgressKeeper(node, duty, delays, dispatcher, held, this::pumpSoon);
+    this.starts = node.metrics().counter("runs.ordered");
+    this.startAnswers = node.metrics().timer("runs.start-answer");
+    loadFleet();
+  }
+
+  /** Reads what was accepted before: the fleet, the jobs, then what became of them. */
+  private void loadFleet() {
+    read(StoreKeys.FLEET, items -> loadJobs(items));
+  }
+
+  private void loadJobs(List<StoreItem> fleet) {
+    duty.take(
+        node.store().list(StoreKeys.JOBS),
+        result -> {
+          if (result instanceof StoreRead.Found found) {
+            read(StoreKeys.PROGRESS, progress -> begin(fleet, found, progress));
+          } else {
+            delays.after(RETRY_READ_MS, () -> unlessClosed(() -> loadJobs(fleet)));
+          }
+        });
+  }
+
+  private void read(String prefix, Consumer<List<StoreItem>> next) {
+    duty.take(
+        node.store().list(prefix),
+        result -> {
+          if (closed) {
+            return;
+          }
+          if (result instanceof StoreRead.Found found) {
+            next.accept(found.items());
+          } else {
+            delays.after(RETRY_READ_MS, () -> unlessClosed(() -> read(prefix, next)));
+          }
+        });
+  }
+
+  private void begin(List<StoreItem> fleet, StoreRead.Found jobs, List<StoreItem> progress) {
+    long now = NodeContext.nowMs();
+    for (StoreItem item : fleet) {
+      FleetRecord record = Json.read(item.value(), FleetRecord.class);
+      for (WorkerEntry worker : record.workers()) {
+        knownFromStore.add(worker.id());
+        dispatcher.registered(worker, true, now);
+        dispatcher.unregistered(worker.id());
+      }
+    }
+    Map<String, StoreItem> progressById = new HashMap<>();
+    progress.forEach(item -> progressById.put(StoreKeys.jobId(item.key()), item));
+    Set<String> cancelled = new HashSet<>();
+    for (StoreItem item : jobs.items()) {
+      if (StoreKeys.isCancel(item.key())) {
+        cancelled.add(StoreKeys.jobId(item.key()));
+      } else {
+        job(item.value()).ifPresent(spec -> restore(spec, progressById.get(spec.id()), now));
+      }
+    }
+    cancelled.forEach(id -> dispatcher.cancelled(id, now));
+    loaded = true;
+    LOG.infof(
+        "event=takeover-read term=%d jobs=%d open=%d fleet=%d",
+        fencingToken, jobs.items().size(), dispatcher.openJobs(), knownFromStore.size());
+    clusterChanged();
+    watches.add(
+        new PrefixWatch(node.store(), duty, delays, StoreKeys.JOBS, new JobListener())
+            .startAfter(jobs.at()));
+    watches.add(
+        new PrefixWatch(
+                node.store(), duty, delays, node.codec().workerPrefix(), new WorkerListener())
+            .start());
+  }
+
+  private void restore(JobSpec spec, StoreItem progress, long now) {
+    if (progress == null) {
+      dispatcher.restore(spec, JobProgress.NONE, 0, now);
+    } else {
+      dispatcher.restore(
+          spec, Json.read(progress.value(), JobProgress.class), progress.revision(), now);
+    }
+  }
+
+  private static Optional<JobSpec> job(String text) {
+    try {
+      return Optional.of(Json.read(text, JobSpec.class));
+    } catch (MalformedMessageException e) {
+      LOG.errorf("event=job-unreadable reason=%s", e.getMessage());
+      return Optional.empty();
+    }
+  }
+
+  private final class JobListener implements PrefixWatch.Listener {
+    @Override
+    public void read(List<StoreItem> items) {
+      items.forEach(item -> take(item.key(), item.value()));
+    }
+
+    @Override
+    public void changed(StoreEvent event) {
+      event.value().ifPresent(value -> take(event.key(), value));
+    }
+
+    private void take(String key, String value) {
+      long now = NodeContext.nowMs();
+      if (StoreKeys.isCancel(key)) {
+        dispatcher.cancelled(StoreKeys.jobId(key), now);
+      } else {
+        job(value).ifPresent(spec -> dispatcher.submitted(spec, now));
+      }
+      pumpSoon();
+    }
+  }
+
+  private final class WorkerListener implements PrefixWatch.Listener {
+    private final Set<String> registered = new HashSet<>();
+
+    @Override
+    public void read(List<StoreItem> items) {
+      Set<String> gone = new HashSet<>(registered);
+      for (StoreItem item : items) {
+        gone.remove(node.codec().workerId(item.key()));
+        put(item.key(), item.value());
+      }
+      gone.forEach(this::remove);
+      pumpSoon();
+    }
+
+    @Override
+    public void changed(StoreEvent event) {
+      if (event.value().isPresent()) {
+        put(event.key(), event.value().get());
+      } else {
+        remove(node.codec().workerId(event.key()));
+      }
+      pumpSoon();
+    }
+
+    private void put(String key, String value) {
+      Optional<WorkerEntry> worker = node.codec().worker(key, value);
+      if (worker.isPresent()) {
+        registered.add(worker.get().id());
+        dispatcher.registered(
+            worker.get(), knownFromStore.contains(worker.get().id()), NodeContext.nowMs());
+      } else {
+        LOG.warnf("event=registration-unreadable key=%s", key);
+      }
+    }
+
+    private void remove(String id) {
+      registered.remove(id);
+      dispatcher.unregistered(id);
+    }
+  }
+
+  /** Hands the operators' wishes to the dispatcher. */
+  void clusterChanged() {
+    dispatcher.configure(cluster.config());
+    dispatcher.withdrawZones(cluster.withdrawnZones());
+    pumpSoon();
+  }
+
+  /** Stops or resumes starting tasks while it is uncertain whether the ownership still holds. */
+  void holdStarts(boolean hold) {
+    dispatcher.holdStarts(hold);
+    pumpSoon();
+  }
+
+  /** Decides and sends orders after the events that wait already. */
+  void pumpSoon() {
+    if (!pumping && loaded && !closed) {
+      pumping = true;
+      duty.execute(this::pump);
+    }
+  }
+
+  private void pump() {
+    pumping = false;
+    if (closed) {
+      return;
+    }
+    long now = NodeContext.nowMs();
+    dispatcher.decide(now, NodeContext.wallMs()).forEach(order -> send(order, now));
+    keeper.keep();
+    if (dispatcher.isFenced()) {
+      ownership.fenced();
+    }
+  }
+
+  private void send(Order order, long sentMs) {
+    if (order instanceof Order.Start start) {
+      starts.inc();
+      duty.take(
+          node.workers().start(start.worker(), start.order(), start.leaseUntilMs(), fencingToken),
+          reply ->
+              answered(
+                  () -> {
+                    long now = NodeContext.nowMs();
+                    startAnswers.update(now - sentMs, TimeUnit.MILLISECONDS);
+                    dispatcher.startAnswered(start, reply, now);
+                  }));
+    } else if (order instanceof Order.Stop stop) {
+      log.decided("run-stop-ordered", stop.task() + "#" + stop.number(), "");
+      duty.take(
+          node.workers().stop(stop.worker(), stop.task(), stop.number(), fencingToken),
+          reply -> answered(() -> dispatcher.stopAnswered(stop, reply, NodeContext.nowMs())));
+    } else if (order instanceof Order.Pace pace) {
+      log.decided("run-paced", pace.task() + "#" + pace.number(), "percent=" + pace.percent());
+      duty.take(
+          node.workers()
+              .pace(pace.worker(), pace.task(), pace.number(), pace.percent(), fencingToken),
+          reply -> answered(() -> dispatcher.paceAnswered(pace, reply, NodeContext.nowMs())));
+    } else if (order instanceof Order.Look look) {
+      duty.take(
+          node.workers()
+              .look(
+                  look.worker(),
+                  look.leaseUntilMs(),
+                  look.acknowledged(),
+                  look.waitMs(),
+                  fencingToken),
+          reply ->
+              answered(
+                  () ->
+                      dispatcher.lookAnswered(look.worker(), reply, sentMs, NodeContext.nowMs())));
+    }
+  }
+
+  private void answered(Runnable action) {
+    if (!closed) {
+      action.run();
+      pumpSoon();
+    }
+  }
+
+  private void unlessClosed(Runnable action) {
+    if (!closed) {
+      action.run();
+    }
+  }
+
+  /** Returns the number of jobs of a queue that wait; empty while the jobs are being read. */
+  Optional<Integer> pendingJobs(String queue) {
+    return loaded ? Optional.of(dispatcher.pendingJobs(queue)) : Optional.empty();
+  }
+
+  /** Returns whether all progress is kept. */
+  boolean isKept() {
+    return !loaded || keeper.isIdle();
+  }
+
+  @Override
+  public void close() {
+    closed = true;
+    watches.forEach(PrefixWatch::close);
+    keeper.close();
+  }
+}
