--- a/src/main/java/org/plantainloom/coordination/dispatch/Dispatcher.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/Dispatcher.java
@@ -42,7 +42,9 @@
   private final JobTable jobs = new JobTable();
   private final RunTable runs;
   private final WorkerReports reports;
-  private final Placement placement = new Placement();
+  private final Interference interference = new Interference();
+  private final TailGuard tailGuard = new TailGuard(interference);
+  private final Placement placement = new Placement(interference);
   private final WaitingOrder waitingOrder = new WaitingOrder(ClusterConfig.UNKNOWN);
   private final StallWatch stalls;
   private final Map<String, WorkerState> workers = new HashMap<>();
@@ -308,7 +310,7 @@
     worker.lookInFlight = false;
     if (reply instanceof LookReply.Seen seen) {
       extraOrders.addAll(reports.apply(worker, seen.look(), sentMs, nowMs));
-      extraOrders.addAll(TailGuard.adjust(worker, nowMs));
+      extraOrders.addAll(tailGuard.adjust(worker, nowMs));
       worker.nextLookMs = nowMs + UNKEPT_LOOK_MS;
     } else if (reply instanceof LookReply.Fenced) {
       beFenced(worker.id());
--- /dev/null
+++ b/src/main/java/org/plantainloom/coordination/dispatch/LinearEstimate.java
@@ -0,0 +1,71 @@
+package org.plantainloom.coordination.dispatch;
+
+import java.util.Arrays;
+
+/**
+ * Recursive least squares with a Gaussian prior: the mean of a linear model's coefficients given
+ * all samples so far, with slow forgetting. Features may be added at any time.
+ */
+final class LinearEstimate {
+  private final double priorVariance;
+  private final double noiseVariance;
+  private final double drift;
+  private double[] mean = new double[0];
+  private double[][] covariance = new double[0][];
+
+  /**
+   * Creates an estimate without features.
+   *
+   * @param priorVariance variance of a coefficient before any sample; its mean is 0
+   * @param noiseVariance variance of what the features do not explain
+   * @param drift growth of a coefficient's variance per sample, by which old samples are forgotten
+   */
+  LinearEstimate(double priorVariance, double noiseVariance, double drift) {
+    this.priorVariance = priorVariance;
+    this.noiseVariance = noiseVariance;
+    this.drift = drift;
+  }
+
+  /** Makes room for features up to a count. */
+  void grow(int features) {
+    int old = mean.length;
+    if (features <= old) {
+      return;
+    }
+    mean = Arrays.copyOf(mean, features);
+    double[][] wider = new double[features][];
+    for (int i = 0; i < features; i++) {
+      wider[i] = i < old ? Arrays.copyOf(covariance[i], features) : new double[features];
+      if (i >= old) {
+        wider[i][i] = priorVariance;
+      }
+    }
+    covariance = wider;
+  }
+
+  double coefficient(int feature) {
+    return feature < mean.length ? mean[feature] : 0;
+  }
+
+  /** Takes in one sample. */
+  void observe(double[] features, double value) {
+    int n = mean.length;
+    double[] gain = new double[n];
+    double variance = noiseVariance;
+    double error = value;
+    for (int i = 0; i < n; i++) {
+      for (int j = 0; j < n; j++) {
+        gain[i] += covariance[i][j] * features[j];
+      }
+      variance += features[i] * gain[i];
+      error -= mean[i] * features[i];
+    }
+    for (int i = 0; i < n; i++) {
+      mean[i] += gain[i] / variance * error;
+      for (int j = 0; j < n; j++) {
+        covariance[i][j] -= gain[i] * gain[j] / variance;
+      }
+      covariance[i][i] = Math.min(priorVariance, covariance[i][i] + drift);
+    }
+  }
+}
--- a/src/main/java/org/plantainloom/coordination/dispatch/Placement.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/Placement.java
@@ -8,23 +8,37 @@
 /**
  * Chooses the worker for a task.
  *
- * <p>Answers the load in which fill tasks share workers with tasks that serve: fill tasks go where
- * processors are idle and nothing serves, serving tasks to workers with the least fill, so that the
- * two meet only when there is no other room. A fill task waits rather than shares a processor that
- * is taken already: starting it would only slow its neighbours by what it gains.
+ * <p>Answers the load in which fill tasks share workers with tasks that serve: serving tasks
+ * reserve far more processor time than they use, so fill tasks are admitted by the estimated use;
+ * they go where processors are idle and where their image disturbs nobody. A fill task waits rather
+ * than shares a processor that is taken already: starting it would only slow its neighbours by what
+ * it gains.
  */
 final class Placement {
   /** Least share of its processors that a fill task must find idle. */
   private static final double FILL_IDLE_SHARE = 0.75;
 
-  /** Weight of one serving task on a worker against idle processors, in thousandths of a core. */
-  private static final int SERVING_WEIGHT = 8_000;
+  /** Overload of a serving task from which a fill task waits for another worker. */
+  private static final double MOST_OVERLOAD = 0.25;
+
+  /** Weight of an overload of 1 against idle processors, in thousandths of a core. */
+  private static final int OVERLOAD_WEIGHT = 80_000;
+
+  /** Weight of one more task of the same phase on a worker, in thousandths of a core. */
+  private static final int SPREAD_WEIGHT = 8_000;
 
   /** Weight of data on another rack: the task then takes longer, in thousandths of a core. */
   private static final int FAR_DATA_WEIGHT = 16_000;
 
+  private static final long NOT_HERE = Long.MIN_VALUE;
+
+  private final Interference interference;
   private Set<String> withdrawnZones = Set.of();
 
+  Placement(Interference interference) {
+    this.interference = interference;
+  }
+
   void zonesWithdrawn(Set<String> zones) {
     withdrawnZones = zones;
   }
@@ -33,7 +47,7 @@
   WorkerState choose(
       PhaseState phase, String service, Collection<WorkerState> workers, long nowMs) {
     WorkerState best = null;
-    long bestScore = Long.MIN_VALUE;
+    long bestScore = NOT_HERE;
     for (WorkerState worker : workers) {
       if (worker.entry.service().equals(service) && admits(worker, phase, nowMs)) {
         long score = score(worker, phase);
@@ -80,19 +94,17 @@
     return worker.reserved().plus(need).fitsIn(worker.entry.capacity());
   }
 
-  private static long score(WorkerState worker, PhaseState phase) {
+  private long score(WorkerState worker, PhaseState phase) {
     PhaseSpec spec = phase.spec;
     long score = worker.idleCpuMillis();
     if (!spec.preferredRack().isEmpty() && !worker.entry.labels().contains(spec.preferredRack())) {
       score -= FAR_DATA_WEIGHT;
     }
     if (spec.lasting()) {
-      score -= worker.fillCpuMillis();
-      score -= (long) SERVING_WEIGHT * phase.tasksOn(worker);
+      score -= (long) SPREAD_WEIGHT * phase.tasksOn(worker);
     } else if (spec.fillsIdleCpu()) {
-      for (Run run : worker.runs.values()) {
-        score -= run.task.phase.spec.tailObjectiveMs() > 0 ? SERVING_WEIGHT : 0;
-      }
+      double overload = interference.overload(phase, worker);
+      score = overload > MOST_OVERLOAD ? NOT_HERE : score - (long) (OVERLOAD_WEIGHT * overload);
     }
     return score;
   }
--- a/src/main/java/org/plantainloom/coordination/dispatch/Run.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/Run.java
@@ -22,6 +22,7 @@
   int pace = 100;
   int orderedPace = 100;
   long paceChangedMs;
+  long excessSinceMs;
   long recent = -1;
   boolean stopInFlight;
   long stopOrderedMs;
--- a/src/main/java/org/plantainloom/coordination/dispatch/TailGuard.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/TailGuard.java
@@ -4,62 +4,95 @@
 import java.util.List;
 
 /**
- * Slows fill tasks beside a serving task whose tail latency nears its objective.
+ * Slows fill tasks beside a serving task whose tail latency would pass its objective.
  *
- * <p>Answers the load in which the disturbance between two images, and the load of the serving
- * task, change within seconds: the share left to fill tasks of a worker is cut by a third for each
- * measurement above the objective and grows in small steps while all tails stay well below it. A
- * tail that stays over its objective with fill tasks at a standstill is not their doing.
+ * <p>Answers the load in which the load of serving tasks, and with it the disturbance that they
+ * bear, changes within seconds. Fill tasks of images that are known to disturb a serving task share
+ * the pressure that it can still bear; a tail that stays over its objective although no culprit is
+ * known slows all fill tasks beside it, and stops them from working before the excess has lasted as
+ * long as the platform tolerates.
  */
 final class TailGuard {
-  /** Part of the objective from which fill tasks are slowed. */
-  private static final double HIGH = 0.9;
+  /** Smaller changes of pace are not worth a call. */
+  private static final int LEAST_CHANGE_PERCENT = 12;
 
-  /** Part of the objective below which fill tasks may work more again. */
-  private static final double LOW = 0.7;
-
-  private static final double CUT = 0.6;
-  private static final int STEP_PERCENT = 15;
-  private static final int LEAST_PERCENT = 10;
+  private static final int STEP_PERCENT = 10;
 
   /** Workers measure over half a second; a change shows in the measurement after that. */
-  private static final long SETTLE_MS = 600;
+  private static final long SETTLE_MS = 500;
+
+  /** Excess without a known culprit that slows all fill tasks, and that brings them to a halt. */
+  private static final long SLOW_ALL_MS = 700;
+
+  private static final long HALT_ALL_MS = 2_000;
+  private static final int SLOWED_PERCENT = 40;
 
-  private TailGuard() {}
+  private final Interference interference;
+
+  TailGuard(Interference interference) {
+    this.interference = interference;
+  }
 
   /** Returns the orders that a fresh look at a worker gives rise to. */
-  static List<Order> adjust(WorkerState worker, long nowMs) {
-    double worst = 0;
+  List<Order> adjust(WorkerState worker, long nowMs) {
+    interference.observe(worker);
+    List<Run> serving = new ArrayList<>();
     List<Run> fill = new ArrayList<>();
     for (Run run : worker.runs.values()) {
-      long objective = run.task.phase.spec.tailObjectiveMs();
-      if (objective > 0 && run.recent >= 0 && run.percent == 100 && !run.isStopping()) {
-        worst = Math.max(worst, (double) run.recent / objective);
+      if (Interference.serves(run)) {
+        noteExcess(run, nowMs);
+        serving.add(run);
       } else if (run.task.phase.spec.fillsIdleCpu() && run.stage == Run.Stage.RUNNING) {
         fill.add(run);
       }
     }
     List<Order> orders = new ArrayList<>();
     for (Run run : fill) {
-      int pace = pace(run, worst, nowMs);
-      if (pace != run.orderedPace) {
-        run.orderedPace = pace;
-        run.progressedMs = nowMs;
-        orders.add(new Order.Pace(worker.entry, run.task.key, run.number, pace));
+      int pace = 100;
+      for (Run neighbour : serving) {
+        pace = Math.min(pace, pace(run, neighbour, fill, worker, nowMs));
       }
+      order(run, pace, orders, nowMs);
     }
     return orders;
   }
 
-  private static int pace(Run run, double worst, long nowMs) {
-    if (run.orderedPace != run.pace || nowMs - run.paceChangedMs < SETTLE_MS) {
-      return run.orderedPace;
+  private static void noteExcess(Run run, long nowMs) {
+    if (run.recent <= run.task.phase.spec.tailObjectiveMs()) {
+      run.excessSinceMs = 0;
+    } else if (run.excessSinceMs == 0) {
+      run.excessSinceMs = nowMs;
+    }
+  }
+
+  private int pace(Run run, Run neighbour, List<Run> fill, WorkerState worker, long nowMs) {
+    long excessMs = neighbour.excessSinceMs == 0 ? 0 : nowMs - neighbour.excessSinceMs;
+    if (excessMs >= HALT_ALL_MS) {
+      return 0;
+    }
+    int pace = excessMs >= SLOW_ALL_MS ? SLOWED_PERCENT : 100;
+    if (interference.fullPressure(neighbour, run.task.phase, worker) == 0) {
+      return pace;
     }
-    if (worst > HIGH) {
-      int cut = (int) (run.pace * CUT);
-      return worst > 1 && cut < LEAST_PERCENT ? 0 : Math.max(cut, LEAST_PERCENT);
+    double wanted = 0;
+    for (Run other : fill) {
+      wanted += interference.fullPressure(neighbour, other.task.phase, worker);
+    }
+    double room = Math.max(0, interference.room(neighbour, worker));
+    return Math.min(pace, (int) (100 * Math.min(1, room / wanted)));
+  }
+
+  private static void order(Run run, int wanted, List<Order> orders, long nowMs) {
+    boolean settling = run.orderedPace != run.pace || nowMs - run.paceChangedMs < SETTLE_MS;
+    int pace = wanted >= 100 ? 100 : wanted / STEP_PERCENT * STEP_PERCENT;
+    int change = Math.abs(pace - run.orderedPace);
+    boolean atEnd = pace == 100 || pace == 0;
+    if (settling || change == 0 || (change < LEAST_CHANGE_PERCENT && !atEnd)) {
+      return;
     }
-    return worst < LOW ? Math.min(100, run.pace + STEP_PERCENT) : run.pace;
+    run.orderedPace = pace;
+    run.progressedMs = nowMs;
+    orders.add(new Order.Pace(run.worker.entry, run.task.key, run.number, pace));
   }
 
   /** Returns whether a worker holds both serving tasks with an objective and fill tasks. */
--- a/src/main/java/org/plantainloom/coordination/dispatch/WorkerState.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/WorkerState.java
@@ -16,6 +16,9 @@
 
   private static final long LONGEST_SUSPENSION_MS = 16_000;
 
+  /** Part of its reserved processor time that a serving task uses at most of its load. */
+  private static final double SERVING_USE = 0.55;
+
   WorkerEntry entry;
   boolean registered = true;
 
@@ -43,6 +46,7 @@
   final Queue<UnkeptEnd> unkept = new ArrayDeque<>();
   private ResourceVector reserved = ResourceVector.ZERO;
   private int fillCpuMillis;
+  private int servingCpuMillis;
 
   /** An end that may be acknowledged once a version of its job is kept; null for no job. */
   record UnkeptEnd(long number, JobState job, long version) {}
@@ -62,9 +66,10 @@
     return reserved;
   }
 
-  /** Returns the processor time that neither reservations nor fill tasks use. */
+  /** Returns the processor time that is estimated to be idle if fill tasks use all they can. */
   int idleCpuMillis() {
-    return entry.capacity().cpuMillis() - reserved.cpuMillis() - fillCpuMillis;
+    int unused = (int) (servingCpuMillis * (1 - SERVING_USE));
+    return entry.capacity().cpuMillis() - reserved.cpuMillis() + unused - fillCpuMillis;
   }
 
   int fillCpuMillis() {
@@ -88,6 +93,9 @@
       fillCpuMillis += sign * need.cpuMillis();
       need = new ResourceVector(0, need.memoryMb(), need.accelerators());
     }
+    if (run.task.phase.spec.tailObjectiveMs() > 0) {
+      servingCpuMillis += sign * need.cpuMillis();
+    }
     reserved = sign > 0 ? reserved.plus(need) : reserved.minus(need);
   }
 
