Learn which images disturb each other; slow, move and place fill tasks by it

Cause: slowing every fill task beside a slow serving task halted the queue that earns most, though few pairs of images disturb each other at all.

--- a/src/main/java/org/plantainloom/coordination/dispatch/Interference.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/Interference.java
@@ -17,22 +17,28 @@
   /** Pressure at which the tail would meet its objective, less room for what a look misses. */
   private static final double HEADROOM = 0.06;
 
-  /** The lowest tail seen is that of a task under some load; part of it without any. */
-  private static final double CALM_SHARE = 0.8;
-
   /** Coefficients are between 0 and about 5; half of the pairs have one near 0. */
   private static final double PRIOR_VARIANCE = 4;
 
-  /** Variance of the pressure by the serving task's own changing load. */
-  private static final double NOISE_VARIANCE = 0.03;
+  /**
+   * Variance of the pressure by the serving task's own changing load, times the number of looks
+   * within one of its swings, as these looks tell little more than one of them.
+   */
+  private static final double NOISE_VARIANCE = 0.15;
+
+  private static final double DRIFT = 0;
 
-  private static final double DRIFT = 0.0005;
+  /** A fill task that began later than this before a look shows only in part in its figures. */
+  private static final long SETTLED_MS = 700;
 
   /** A smaller coefficient is not told apart from changes of the load. */
-  private static final double LEAST_COEFFICIENT = 0.35;
+  private static final double LEAST_COEFFICIENT = 0.5;
 
   /** How far the load of a serving task rises above its mean at its peak. */
-  private static final double PEAK_LOAD = 0.15;
+  private static final double PEAK_LOAD = 0.21;
+
+  /** Part of the way that one lower figure moves the lowest tail. */
+  private static final double LOWEST_STEP = 0.2;
 
   private static final double MEAN_LOAD = 0.42;
 
@@ -43,8 +49,17 @@
     final LinearEstimate estimate = new LinearEstimate(PRIOR_VARIANCE, NOISE_VARIANCE, DRIFT);
     double lowestTail = Double.MAX_VALUE;
 
+    /** Follows the lowest tails; a single low figure does not count, as figures are rough. */
+    void notice(double tail) {
+      if (lowestTail == Double.MAX_VALUE) {
+        lowestTail = tail;
+      } else if (tail < lowestTail) {
+        lowestTail += LOWEST_STEP * (tail - lowestTail);
+      }
+    }
+
     double pressure(double tail) {
-      return 1 - Math.min(1, CALM_SHARE * lowestTail / Math.max(tail, 1));
+      return 1 - Math.min(1, lowestTail / Math.max(tail, 1));
     }
 
     double limit(double objective) {
@@ -56,8 +71,14 @@
     return fillImages.computeIfAbsent(fillImage, image -> fillImages.size() + 1);
   }
 
-  /** Learns from a fresh look at a worker. */
-  void observe(WorkerState worker) {
+  /**
+   * Learns from a fresh look at a worker on which no fill task is slowed: those that are slowed are
+   * slowed because of the tails, so their use tells nothing of what they would do at full pace.
+   */
+  void observe(WorkerState worker, long nowMs) {
+    if (!isUndisturbed(worker, nowMs)) {
+      return;
+    }
     double[] use = null;
     for (Run run : worker.runs.values()) {
       if (!serves(run)) {
@@ -68,12 +89,22 @@
       }
       Serving serving =
           servingImages.computeIfAbsent(run.task.phase.imageKey, image -> new Serving());
-      serving.lowestTail = Math.min(serving.lowestTail, (double) Math.max(run.recent, 1));
+      serving.notice((double) run.recent);
       serving.estimate.grow(fillImages.size() + 1);
       serving.estimate.observe(use, serving.pressure((double) run.recent));
     }
   }
 
+  private static boolean isUndisturbed(WorkerState worker, long nowMs) {
+    for (Run run : worker.runs.values()) {
+      boolean slowed = run.pace < 100 || run.orderedPace < 100;
+      if (run.task.phase.spec.fillsIdleCpu() && (slowed || nowMs - run.orderedMs < SETTLED_MS)) {
+        return false;
+      }
+    }
+    return true;
+  }
+
   /** Returns the share of the processors that each fill image uses; a constant 1 comes first. */
   private double[] fillUse(WorkerState worker) {
     for (Run run : worker.runs.values()) {
@@ -109,7 +140,8 @@
     if (serving == null || feature == null) {
       return 0;
     }
-    double coefficient = serving.estimate.coefficient(feature);
+    double coefficient =
+        serving.estimate.coefficient(feature) - serving.estimate.deviation(feature);
     return coefficient < LEAST_COEFFICIENT ? 0 : coefficient;
   }
 
@@ -119,6 +151,19 @@
         * share(fill.spec.need().cpuMillis(), worker);
   }
 
+  /** As {@link #fullPressure}, but also counts pairs of which little is known yet. */
+  private double likelyPressure(Run serving, PhaseState fill, WorkerState worker) {
+    Serving known = servingImages.get(serving.task.phase.imageKey);
+    Integer feature = fillImages.get(fill.imageKey);
+    if (known == null || feature == null) {
+      return 0;
+    }
+    double coefficient = known.estimate.coefficient(feature);
+    return coefficient < LEAST_COEFFICIENT
+        ? 0
+        : coefficient * share(fill.spec.need().cpuMillis(), worker);
+  }
+
   /** Returns the pressure that fill tasks may put on a serving task now. */
   double room(Run serving, WorkerState worker) {
     Serving known = servingImages.get(serving.task.phase.imageKey);
@@ -137,28 +182,28 @@
   }
 
   /**
-   * Returns by how much one more fill task would bring the serving tasks of a worker over their
-   * limit when their own load is at its peak; 0 if it would not.
+   * Returns by how much one more fill task would bring the serving tasks of a worker, together,
+   * over their limit when their own load is at its peak; 0 if it would not.
    */
   double overload(PhaseState fill, WorkerState worker) {
-    double worst = 0;
+    double total = 0;
     for (Run serving : worker.runs.values()) {
       if (serving.task.phase.spec.tailObjectiveMs() <= 0) {
         continue;
       }
-      double added = fullPressure(serving, fill, worker);
+      double added = likelyPressure(serving, fill, worker);
       if (added == 0) {
         continue;
       }
       for (Run run : worker.runs.values()) {
         if (run.task.phase.spec.fillsIdleCpu()) {
-          added += fullPressure(serving, run.task.phase, worker);
+          added += likelyPressure(serving, run.task.phase, worker);
         }
       }
       Serving known = servingImages.get(serving.task.phase.imageKey);
       double limit = known.limit((double) serving.task.phase.spec.tailObjectiveMs());
-      worst = Math.max(worst, added + MEAN_LOAD + PEAK_LOAD - limit);
+      total += Math.max(0, added + MEAN_LOAD + PEAK_LOAD - limit);
     }
-    return worst;
+    return total;
   }
 }
--- a/src/main/java/org/plantainloom/coordination/dispatch/LinearEstimate.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/LinearEstimate.java
@@ -47,6 +47,11 @@
     return feature < mean.length ? mean[feature] : 0;
   }
 
+  /** Returns the standard deviation of a coefficient. */
+  double deviation(int feature) {
+    return Math.sqrt(feature < mean.length ? covariance[feature][feature] : priorVariance);
+  }
+
   /** Takes in one sample. */
   void observe(double[] features, double value) {
     int n = mean.length;
--- a/src/main/java/org/plantainloom/coordination/dispatch/Placement.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/Placement.java
@@ -19,7 +19,7 @@
   private static final double FILL_IDLE_SHARE = 0.75;
 
   /** Overload of a serving task from which a fill task waits for another worker. */
-  private static final double MOST_OVERLOAD = 0.25;
+  private static final double MOST_OVERLOAD = 0.12;
 
   /** Weight of an overload of 1 against idle processors, in thousandths of a core. */
   private static final int OVERLOAD_WEIGHT = 80_000;
@@ -27,6 +27,13 @@
   /** Weight of one more task of the same phase on a worker, in thousandths of a core. */
   private static final int SPREAD_WEIGHT = 8_000;
 
+  /**
+   * Weight of each serving task of another image on a worker, in thousandths of a core. Serving
+   * tasks of one image bear and suffer the same neighbours: kept together they leave other workers
+   * to the fill tasks that disturb them.
+   */
+  private static final int STRANGER_WEIGHT = 12_000;
+
   /** Weight of data on another rack: the task then takes longer, in thousandths of a core. */
   private static final int FAR_DATA_WEIGHT = 16_000;
 
@@ -94,6 +101,17 @@
     return worker.reserved().plus(need).fitsIn(worker.entry.capacity());
   }
 
+  private static int strangers(WorkerState worker, PhaseState phase) {
+    int count = 0;
+    for (Run run : worker.runs.values()) {
+      PhaseState other = run.task.phase;
+      if (other.spec.tailObjectiveMs() > 0 && !other.imageKey.equals(phase.imageKey)) {
+        count++;
+      }
+    }
+    return count;
+  }
+
   private long score(WorkerState worker, PhaseState phase) {
     PhaseSpec spec = phase.spec;
     long score = worker.idleCpuMillis();
@@ -102,6 +120,7 @@
     }
     if (spec.lasting()) {
       score -= (long) SPREAD_WEIGHT * phase.tasksOn(worker);
+      score -= (long) STRANGER_WEIGHT * strangers(worker, phase);
     } else if (spec.fillsIdleCpu()) {
       double overload = interference.overload(phase, worker);
       score = overload > MOST_OVERLOAD ? NOT_HERE : score - (long) (OVERLOAD_WEIGHT * overload);
--- a/src/main/java/org/plantainloom/coordination/dispatch/Run.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/Run.java
@@ -23,6 +23,7 @@
   int orderedPace = 100;
   long paceChangedMs;
   long excessSinceMs;
+  long starvedSinceMs;
   long recent = -1;
   boolean stopInFlight;
   long stopOrderedMs;
--- a/src/main/java/org/plantainloom/coordination/dispatch/TailGuard.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/TailGuard.java
@@ -27,6 +27,13 @@
   private static final long HALT_ALL_MS = 2_000;
   private static final int SLOWED_PERCENT = 40;
 
+  /**
+   * Pace at which a fill task that has a checkpoint is better off elsewhere, and after how long.
+   */
+  private static final int STARVED_PERCENT = 15;
+
+  private static final long STARVED_MS = 900;
+
   private final Interference interference;
 
   TailGuard(Interference interference) {
@@ -35,7 +42,7 @@
 
   /** Returns the orders that a fresh look at a worker gives rise to. */
   List<Order> adjust(WorkerState worker, long nowMs) {
-    interference.observe(worker);
+    interference.observe(worker, nowMs);
     List<Run> serving = new ArrayList<>();
     List<Run> fill = new ArrayList<>();
     for (Run run : worker.runs.values()) {
@@ -52,11 +59,25 @@
       for (Run neighbour : serving) {
         pace = Math.min(pace, pace(run, neighbour, fill, worker, nowMs));
       }
-      order(run, pace, orders, nowMs);
+      if (isStarved(run, pace, nowMs)) {
+        run.stop();
+      } else {
+        order(run, pace, orders, nowMs);
+      }
     }
     return orders;
   }
 
+  /** Tells whether a fill task that can resume elsewhere has been left without room for a while. */
+  private static boolean isStarved(Run run, int pace, long nowMs) {
+    if (pace > STARVED_PERCENT || !run.task.phase.spec.checkpointing()) {
+      run.starvedSinceMs = 0;
+    } else if (run.starvedSinceMs == 0) {
+      run.starvedSinceMs = nowMs;
+    }
+    return run.starvedSinceMs != 0 && nowMs - run.starvedSinceMs >= STARVED_MS;
+  }
+
   private static void noteExcess(Run run, long nowMs) {
     if (run.recent <= run.task.phase.spec.tailObjectiveMs()) {
       run.excessSinceMs = 0;
