--- /dev/null
+++ b/bin/node-flags.sh
@@ -0,0 +1,6 @@
+# JVM flags of plantainloom-node; deploy/system.toml repeats them, as the platform runs no shell.
+NODE_FLAGS="-XX:+UseSerialGC -Xms16m -Xmx64m -Xss256k -XX:MaxMetaspaceSize=64m \
+ -XX:ReservedCodeCacheSize=24m -XX:MaxDirectMemorySize=16m -XX:TieredStopAtLevel=1 -Xshare:auto \
+ -Dio.netty.allocator.numHeapArenas=1 -Dio.netty.allocator.numDirectArenas=1 \
+ -Dio.netty.allocator.maxOrder=3 -Dcom.linecorp.armeria.transportType=nio \
+ -Dcom.linecorp.armeria.numCommonWorkers=1 -Dcom.linecorp.armeria.numCommonBlockingTaskThreads=1"
--- a/src/main/java/org/plantainloom/coordination/dispatch/Dispatcher.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/Dispatcher.java
@@ -54,6 +54,7 @@
   private boolean fenced;
   private boolean caughtUp;
   private boolean startsHeld;
+  private boolean fleetShrunk;
 
   /**
    * Creates the decisions of a new owner.
@@ -145,13 +146,14 @@
   /** Returns the workers that a later owner has to ask, or empty if the store lists them. */
   public Optional<List<WorkerEntry>> unpersistedFleet() {
     boolean all = workers.values().stream().allMatch(w -> w.persisted);
-    return all
+    return all && !fleetShrunk
         ? Optional.empty()
         : Optional.of(workers.values().stream().map(w -> w.entry).toList());
   }
 
   /** Takes note that the store lists these workers. */
   public void fleetPersisted(List<WorkerEntry> fleet) {
+    fleetShrunk = false;
     for (WorkerEntry entry : fleet) {
       WorkerState worker = workers.get(entry.id());
       if (worker != null) {
@@ -197,6 +199,7 @@
         runs.lostAll(worker, "lease over", nowMs);
         if (!worker.registered) {
           workers.remove(worker.id());
+          fleetShrunk = true;
           log.decided("worker-forgotten", worker.id(), "");
         }
       }
@@ -213,7 +216,7 @@
   private void place(List<Order> orders, long nowMs, long wallMs) {
     List<Ranked> ready = new ArrayList<>();
     for (JobState job : jobs.open()) {
-      if (!caughtUp && job.knownSinceMs <= ownedSinceMs) {
+      if (!caughtUp && job.inherited) {
         continue;
       }
       for (List<PhaseState> phases : job.occurrences) {
--- a/src/main/java/org/plantainloom/coordination/dispatch/JobState.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/JobState.java
@@ -20,6 +20,10 @@
   final List<List<PhaseState>> occurrences = new ArrayList<>();
   JobStatus status = JobStatus.QUEUED;
   long progressRevision;
+
+  /** Whether a former owner may have started tasks of it. */
+  boolean inherited;
+
   long version;
   long persistedVersion;
   long finishedMs;
@@ -111,6 +115,7 @@
   }
 
   void restore(JobProgress progress, long revision) {
+    inherited = true;
     status = progress.status();
     progressRevision = revision;
     for (List<PhaseState> phases : occurrences) {
--- /dev/null
+++ b/src/main/java/org/plantainloom/platform/standin/PlatformStandin.java
@@ -0,0 +1,184 @@
+package org.plantainloom.platform.standin;
+
+import com.linecorp.armeria.common.AggregatedHttpRequest;
+import com.linecorp.armeria.common.HttpResponse;
+import com.linecorp.armeria.common.metric.NoopMeterRegistry;
+import com.linecorp.armeria.server.Server;
+import com.linecorp.armeria.server.ServerBuilder;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * The users' platform in the small, on loopback: a store and workers that keep its rules.
+ *
+ * <pre>{@code
+ * try (PlatformStandin platform = PlatformStandin.start(3, 200)) {
+ *   platform.configure(1);
+ *   …
+ * }
+ * }</pre>
+ */
+@SuppressWarnings("FutureReturnValueIgnored") // timers run until the stand-in is closed
+public final class PlatformStandin implements AutoCloseable {
+  /** Host that callers name to reach the only queue. */
+  public static final String HOST = "queue.example";
+
+  /** Prefix of the paths of its jobs. */
+  public static final String PREFIX = "/jobs/";
+
+  /** Name of the queue. */
+  public static final String QUEUE = "queue";
+
+  private static final String LOOPBACK = "127.0.0.1";
+  private static final long EXPIRY_PACE_MS = 50;
+
+  private final ScheduledExecutorService timers = Executors.newScheduledThreadPool(1);
+  private final StoreStandin store = new StoreStandin(timers);
+  private final RunLedger ledger = new RunLedger();
+  private final List<WorkerStandin> workers = new ArrayList<>();
+  private final List<Server> servers = new ArrayList<>();
+
+  private PlatformStandin(int workerCount, long taskMs) {
+    servers.add(serve(store::answer));
+    for (int i = 0; i < workerCount; i++) {
+      WorkerStandin worker = new WorkerStandin("i-" + i, taskMs, timers, ledger);
+      workers.add(worker);
+      Server server = serve(worker::answer);
+      servers.add(server);
+      register(worker, server);
+    }
+    timers.scheduleAtFixedRate(
+        store::expireLeases, EXPIRY_PACE_MS, EXPIRY_PACE_MS, TimeUnit.MILLISECONDS);
+  }
+
+  /** Answers a request of the wire. */
+  @FunctionalInterface
+  private interface Answers {
+    HttpResponse to(AggregatedHttpRequest request) throws IOException;
+  }
+
+  private static Server serve(Answers answers) {
+    ServerBuilder builder =
+        Server.builder()
+            .http(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0))
+            .meterRegistry(NoopMeterRegistry.get())
+            .requestTimeoutMillis(0)
+            .gracefulShutdownTimeoutMillis(0, 0)
+            .serviceUnder(
+                "/",
+                (ctx, request) ->
+                    HttpResponse.of(
+                        request
+                            .aggregate()
+                            .thenApply(
+                                whole -> {
+                                  try {
+                                    return answers.to(whole);
+                                  } catch (IOException e) {
+                                    throw new UncheckedIOException(e);
+                                  }
+                                })));
+    Server server = builder.build();
+    server.start().join();
+    return server;
+  }
+
+  /**
+   * Starts a platform.
+   *
+   * @param workerCount number of workers of 8 processors and 32 GB each
+   * @param taskMs how long each task runs, in milliseconds
+   */
+  public static PlatformStandin start(int workerCount, long taskMs) {
+    return new PlatformStandin(workerCount, taskMs);
+  }
+
+  private void register(WorkerStandin worker, Server server) {
+    store.put(
+        "servers/" + worker.id(),
+        "{\"service\":\"service\",\"address\":\""
+            + LOOPBACK
+            + ":"
+            + server.activeLocalPort()
+            + "\",\"zone\":\"zone-1\",\"version\":\"v1\",\"slots\":8,\"state\":\"ready\","
+            + "\"capacity\":{\"cpu\":8000,\"mem-mb\":32000,\"gpu\":0},\"labels\":[\"a\",\"r1\"],"
+            + "\"born\":"
+            + worker.born()
+            + "}");
+  }
+
+  /** Writes a configuration with one queue. */
+  public void configure(int version) {
+    store.put(
+        "op/config",
+        "{\"version\":"
+            + version
+            + ",\"routes\":[{\"name\":\""
+            + QUEUE
+            + "\",\"host\":\""
+            + HOST
+            + "\",\"prefix\":\""
+            + PREFIX
+            + "\",\"timeout-ms\":3000,\"target-duration-ms\":300,\"priority\":0,"
+            + "\"service\":\"service\",\"max-attempts\":3,\"stretch-factor\":1.5}],"
+            + "\"services\":[{\"name\":\"service\",\"preconditions\":false}],"
+            + "\"limits\":{\"max-body-bytes\":20000}}");
+  }
+
+  /** Takes an availability zone out, or back in. */
+  public void withdraw(String zone, boolean out) {
+    if (out) {
+      store.put("op/evacuate/" + zone, "{}");
+    } else {
+      store.remove("op/evacuate/" + zone);
+    }
+  }
+
+  /** Makes the store refuse everything, or serve again. */
+  public void storeDown(boolean down) {
+    store.down(down);
+  }
+
+  /** Makes the store carry out so many transactions without answering. */
+  public void loseAnswers(int count) {
+    store.loseAnswers(count);
+  }
+
+  /** Makes the store drop its history. */
+  public void forgetHistory() {
+    store.forgetHistory();
+  }
+
+  /** Makes a worker fail all that it runs. */
+  public void failAll(int worker, boolean fail) {
+    workers.get(worker).failAll(fail);
+  }
+
+  /** Returns what the store holds under a key; empty if nothing. */
+  public String stored(String key) {
+    return store.value(key);
+  }
+
+  /** Returns host and port of the store. */
+  public String storeAddress() {
+    return LOOPBACK + ":" + servers.get(0).activeLocalPort();
+  }
+
+  /** Returns what ran. */
+  public RunLedger ledger() {
+    return ledger;
+  }
+
+  @Override
+  public void close() {
+    timers.shutdownNow();
+    servers.forEach(server -> server.stop().join());
+  }
+}
