Adopt a run whose task has an older unacknowledged end; give silent workers no longer lease

Cause: at a takeover a run listed beside an older end of its task was not adopted (TWICE); looks at a worker that did not answer moved its lease on, so its runs were never given up (LOST of lasting tasks).

--- a/src/main/java/org/plantainloom/coordination/dispatch/Dispatcher.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/Dispatcher.java
@@ -30,7 +30,7 @@
   private static final int JOBS_PER_COMMIT = 15;
 
   /** How long a worker that did not answer is left before it is asked again. */
-  private static final long RETRY_LOOK_MS = 100;
+  private static final long RETRY_LOOK_MS = 200;
 
   private static final long RETRY_STOP_MS = 300;
 
@@ -289,7 +289,8 @@
     }
     worker.lookInFlight = true;
     Optional<Long> lease = Optional.empty();
-    if (worker.isClockKnown()) {
+    // A worker that does not answer is given no longer lease: what it runs has to end by itself.
+    if (worker.isClockKnown() && !worker.unreachable) {
       lease = Optional.of(worker.clockAt(nowMs) + policy.leaseMs());
       worker.leaseExtended(nowMs, policy);
     }
--- a/src/main/java/org/plantainloom/coordination/dispatch/WorkerReports.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/WorkerReports.java
@@ -47,14 +47,12 @@
       log.decided("worker-regained", worker.id(), "runs=" + worker.runs.size());
     }
     worker.confirmed = true;
-    Set<TaskKey> ended = applyEnds(worker, look.ended(), nowMs);
+    applyEnds(worker, look.ended(), nowMs);
     List<Order> orders = new ArrayList<>();
     Set<TaskKey> running = new HashSet<>();
     for (RunningTask row : look.running()) {
       running.add(row.task());
-      if (!ended.contains(row.task())) {
-        applyRunning(worker, row, orders, nowMs);
-      }
+      applyRunning(worker, row, orders, nowMs);
     }
     dropMissing(worker, running, sentMs);
     return orders;
@@ -69,14 +67,12 @@
     }
   }
 
-  private Set<TaskKey> applyEnds(WorkerState worker, List<RunEnd> ends, long nowMs) {
-    Set<TaskKey> tasks = new HashSet<>();
+  private void applyEnds(WorkerState worker, List<RunEnd> ends, long nowMs) {
     for (RunEnd end : ends) {
       if (end.number() <= worker.endsSeen) {
         continue;
       }
       worker.endsSeen = end.number();
-      tasks.add(end.task());
       JobState job = jobs.job(end.task().jobId());
       TaskState task = job == null ? null : job.task(end.task());
       if (task == null) {
@@ -92,7 +88,6 @@
       JobState waitsFor = end.kind().mustPersist() && job.isDirty() ? job : null;
       worker.unkept.add(new WorkerState.UnkeptEnd(end.number(), waitsFor, job.version));
     }
-    return tasks;
   }
 
   private void applyRunning(WorkerState worker, RunningTask row, List<Order> orders, long nowMs) {
