--- a/src/main/java/org/plantainloom/coordination/dispatch/Dispatcher.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/Dispatcher.java
@@ -333,7 +333,9 @@
     if (run.worker.runs.get(run.task.key) != run) {
       return;
     }
-    log.decided("run-answered", run, "reply=" + reply + " afterMs=" + (nowMs - run.orderedMs));
+    if (reply != OrderReply.OK) {
+      log.decided("run-answered", run, "reply=" + reply + " afterMs=" + (nowMs - run.orderedMs));
+    }
     switch (reply) {
       case OK -> run.confirm(nowMs);
       case FENCED -> beFenced(run.worker.id());
--- a/src/main/java/org/plantainloom/coordination/dispatch/RunTable.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/RunTable.java
@@ -99,7 +99,9 @@
           failed(task, nowMs);
         }
       }
-      default -> log.decided("task-waits", task.key, "after=" + kind);
+      case STOPPED, LEASE_LAPSED, GANG_BROKEN, GANG_INCOMPLETE, LOST -> {
+        // The task waits for its next run.
+      }
     }
   }
 
--- a/src/main/java/org/plantainloom/coordination/dispatch/WorkerReports.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/WorkerReports.java
@@ -17,6 +17,9 @@
  * lost.
  */
 final class WorkerReports {
+  /** How long a worker with a run of unknown size gets nothing; longer than a stop takes. */
+  private static final long UNKNOWN_RUN_PAUSE_MS = 1_500;
+
   private final JobTable jobs;
   private final RunTable runs;
   private final DecisionLog log;
@@ -106,24 +109,28 @@
     }
   }
 
-  /** Takes over a run that this owner did not start, or orders it to stop. */
+  /**
+   * Takes over a run that this owner did not start. One that should not be there is stopped, and
+   * holds its room until it has ended.
+   */
   private Run adopt(
       WorkerState worker, RunningTask row, Run known, List<Order> orders, long nowMs) {
+    String subject = row.task() + "#" + row.run() + "@" + worker.id();
     JobState job = jobs.job(row.task().jobId());
     TaskState task = job == null ? null : job.task(row.task());
-    boolean wanted =
-        task != null && known == null && !job.isOver() && task.isPending() && !task.done;
-    if (!wanted) {
-      if (task != null) {
-        task.lastRun = Math.max(task.lastRun, row.run());
-      }
-      log.decided("run-unwanted", row.task() + "#" + row.run() + "@" + worker.id(), "stopped");
+    if (task == null || known != null) {
+      log.decided("run-unwanted", subject, "job=" + (job == null ? "unknown" : job.status));
       orders.add(new Order.Stop(worker.entry, row.task(), row.run()));
+      worker.suspendedUntilMs = Math.max(worker.suspendedUntilMs, nowMs + UNKNOWN_RUN_PAUSE_MS);
       return null;
     }
-    log.decided("run-adopted", row.task() + "#" + row.run() + "@" + worker.id(), "");
+    boolean wanted = !job.isOver() && task.isPending();
+    log.decided(wanted ? "run-adopted" : "run-unwanted", subject, "job=" + job.status);
     Run run = runs.begin(task, worker, row.run(), nowMs);
     run.confirm(nowMs);
+    if (!wanted) {
+      run.stop();
+    }
     return run;
   }
 
--- a/src/main/java/org/plantainloom/program/node/ArchiveTraining.java
+++ b/src/main/java/org/plantainloom/program/node/ArchiveTraining.java
@@ -34,16 +34,23 @@
   public static void main(String[] args) throws Exception {
     try (PlatformStandin platform = PlatformStandin.start(3, TASK_MS)) {
       platform.configure(1);
-      String callers = "127.0.0.1:" + freePort();
-      NodeProcess.run(settings(platform, callers));
-      WebClient client = WebClient.of("h1c://" + callers);
-      for (int i = 0; i < JOBS; i++) {
-        runJob(client, PlatformStandin.PREFIX + "00000000000000a" + i);
-      }
+      runNode(platform, "a");
+      // The second node takes over what the first has kept.
+      runNode(platform, "b");
     }
     System.exit(0);
   }
 
+  private static void runNode(PlatformStandin platform, String suffix) throws Exception {
+    String callers = "127.0.0.1:" + freePort();
+    NodeProcess node = NodeProcess.start(settings(platform, callers));
+    WebClient client = WebClient.of("h1c://" + callers);
+    for (int i = 0; i < JOBS; i++) {
+      runJob(client, PlatformStandin.PREFIX + "00000000000000" + suffix + i);
+    }
+    node.stop();
+  }
+
   private static NodeSettings settings(PlatformStandin platform, String callers)
       throws IOException, InvalidDocumentException {
     String text =
--- a/src/main/java/org/plantainloom/program/node/NodeProcess.java
+++ b/src/main/java/org/plantainloom/program/node/NodeProcess.java
@@ -114,15 +114,20 @@
         text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
   }
 
+  /** Starts a node without registering for signals. */
+  static NodeProcess start(NodeSettings settings) {
+    return new NodeProcess(settings);
+  }
+
   static ExitCode run(NodeSettings settings) {
-    NodeProcess process = new NodeProcess(settings);
+    NodeProcess process = start(settings);
     StopSignal.onSignal(process::stop);
     HangupSignal.onSignal(
         () -> LOG.infof("event=reloaded node=%s changed=nothing", settings.name()));
     return ExitCode.OK;
   }
 
-  private void stop() throws Exception {
+  void stop() throws Exception {
     LOG.infof("event=stopping node=%s", settings.name());
     stopping = true;
     long askedMs = System.nanoTime() / 1_000_000;
--- a/src/main/java/org/plantainloom/transport/dispatch/Ownership.java
+++ b/src/main/java/org/plantainloom/transport/dispatch/Ownership.java
@@ -21,8 +21,11 @@
 final class Ownership implements PrefixWatch.Listener {
   private static final Logger LOG = Logger.getLogger(Ownership.class);
 
-  /** Time without an owner after a kill; long enough to outlive a slow answer of the store. */
-  private static final long TTL_MS = 2_000;
+  /**
+   * Time without an owner after a kill. A node that has just started on a third of a core may not
+   * get to its renewal for two seconds, and losing the ownership costs more than one second.
+   */
+  private static final long TTL_MS = 3_000;
 
   private static final long RENEW_EVERY_MS = 500;
   private static final long RETRY_MS = 300;
