Test the dispatcher against model workers; group serving tasks by image; notice workers that left

A draining worker that had left stayed in the fleet record, so a later owner waited out its lease before it restarted lasting tasks. Replays in virtual time showed two more: loud pairs were slowed before they could be learned, and quiet images kept the room that loud ones need. Change: a draining worker whose registration goes soon after its last answer has left; samples count from 500 ms, unknown culprits are slowed after 1 s; a pair counts as disturbing above one deviation.

--- a/src/main/java/org/plantainloom/coordination/dispatch/Dispatcher.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/Dispatcher.java
@@ -34,6 +34,12 @@
 
   private static final long RETRY_STOP_MS = 300;
 
+  /**
+   * A registration that goes so soon after the worker's last answer was taken back by the worker; a
+   * lapse takes three heartbeats of silence, 4.5 s on the known platforms.
+   */
+  private static final long LEFT_WITHIN_MS = 2_500;
+
   /** How long a look waits for ends to be kept before it repeats them. */
   private static final long UNKEPT_LOOK_MS = 400;
 
@@ -131,14 +137,16 @@
     }
     worker.entry = entry;
     worker.registered = true;
+    worker.left = false;
     worker.persisted |= persisted;
   }
 
   /** Takes note that a worker is no longer registered; it may still run on. */
-  public void unregistered(String workerId) {
+  public void unregistered(String workerId, long nowMs) {
     WorkerState worker = workers.get(workerId);
     if (worker != null && worker.registered) {
       worker.registered = false;
+      worker.left = worker.entry.draining() && nowMs - worker.lastAnswerMs < LEFT_WITHIN_MS;
       log.decided("worker-unregistered", workerId, "runs=" + worker.runs.size());
     }
   }
@@ -195,8 +203,8 @@
   private void expireLeases(long nowMs) {
     for (WorkerState worker : new ArrayList<>(workers.values())) {
       boolean over = worker.lastAnswerMs + policy.catchUpMs() < nowMs && worker.leaseOverMs < nowMs;
-      if (worker.unreachable && over) {
-        runs.lostAll(worker, "lease over", nowMs);
+      if (worker.unreachable && (over || worker.left)) {
+        runs.lostAll(worker, worker.left ? "left" : "lease over", nowMs);
         if (!worker.registered) {
           workers.remove(worker.id());
           fleetShrunk = true;
--- a/src/main/java/org/plantainloom/coordination/dispatch/Interference.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/Interference.java
@@ -29,7 +29,7 @@
   private static final double DRIFT = 0;
 
   /** A fill task that began later than this before a look shows only in part in its figures. */
-  private static final long SETTLED_MS = 700;
+  private static final long SETTLED_MS = 500;
 
   /** A smaller coefficient is not told apart from changes of the load. */
   private static final double LEAST_COEFFICIENT = 0.5;
@@ -62,6 +62,15 @@
       return 1 - Math.min(1, lowestTail / Math.max(tail, 1));
     }
 
+    /**
+     * Tells whether a fill image is likely to disturb; a coefficient that is no larger than its
+     * deviation is not, so that the pair is tried again until more is known of it.
+     */
+    boolean isDisturbedBy(int feature) {
+      double coefficient = estimate.coefficient(feature);
+      return coefficient >= LEAST_COEFFICIENT && coefficient > estimate.deviation(feature);
+    }
+
     double limit(double objective) {
       return Math.max(0, pressure(objective) - HEADROOM);
     }
@@ -181,6 +190,23 @@
     return known.limit((double) serving.task.phase.spec.tailObjectiveMs()) - Math.max(0, own);
   }
 
+  /** Returns how many fill images disturb a serving task of a worker. */
+  int unwelcomeImages(WorkerState worker) {
+    int count = 0;
+    for (int feature : fillImages.values()) {
+      for (Run run : worker.runs.values()) {
+        Serving known = servingImages.get(run.task.phase.imageKey);
+        if (run.task.phase.spec.tailObjectiveMs() > 0
+            && known != null
+            && known.isDisturbedBy(feature)) {
+          count++;
+          break;
+        }
+      }
+    }
+    return count;
+  }
+
   /**
    * Returns by how much one more fill task would bring the serving tasks of a worker, together,
    * over their limit when their own load is at its peak; 0 if it would not.
--- a/src/main/java/org/plantainloom/coordination/dispatch/Placement.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/Placement.java
@@ -25,7 +25,7 @@
   private static final int OVERLOAD_WEIGHT = 80_000;
 
   /** Weight of one more task of the same phase on a worker, in thousandths of a core. */
-  private static final int SPREAD_WEIGHT = 8_000;
+  private static final int SPREAD_WEIGHT = 2_000;
 
   /**
    * Weight of each serving task of another image on a worker, in thousandths of a core. Serving
@@ -34,6 +34,15 @@
    */
   private static final int STRANGER_WEIGHT = 12_000;
 
+  /** Weight of each serving task of the same image; more than the processor time that it uses. */
+  private static final int SAME_IMAGE_WEIGHT = 8_000;
+
+  /**
+   * Weight of each image that would disturb a worker, in thousandths of a core, for fill tasks that
+   * do not: they leave the workers without sensitive tasks to those that can go nowhere else.
+   */
+  private static final int UNWELCOME_WEIGHT = 5_000;
+
   /** Weight of data on another rack: the task then takes longer, in thousandths of a core. */
   private static final int FAR_DATA_WEIGHT = 16_000;
 
@@ -101,15 +110,16 @@
     return worker.reserved().plus(need).fitsIn(worker.entry.capacity());
   }
 
-  private static int strangers(WorkerState worker, PhaseState phase) {
-    int count = 0;
+  /** Returns how well a serving task fits in with the serving tasks that a worker has. */
+  private static long company(WorkerState worker, PhaseState phase) {
+    long company = 0;
     for (Run run : worker.runs.values()) {
       PhaseState other = run.task.phase;
-      if (other.spec.tailObjectiveMs() > 0 && !other.imageKey.equals(phase.imageKey)) {
-        count++;
+      if (other.spec.tailObjectiveMs() > 0) {
+        company += other.imageKey.equals(phase.imageKey) ? SAME_IMAGE_WEIGHT : -STRANGER_WEIGHT;
       }
     }
-    return count;
+    return company;
   }
 
   private long score(WorkerState worker, PhaseState phase) {
@@ -120,9 +130,10 @@
     }
     if (spec.lasting()) {
       score -= (long) SPREAD_WEIGHT * phase.tasksOn(worker);
-      score -= (long) STRANGER_WEIGHT * strangers(worker, phase);
+      score += company(worker, phase);
     } else if (spec.fillsIdleCpu()) {
       double overload = interference.overload(phase, worker);
+      score += (long) UNWELCOME_WEIGHT * worker.unwelcomeImages;
       score = overload > MOST_OVERLOAD ? NOT_HERE : score - (long) (OVERLOAD_WEIGHT * overload);
     }
     return score;
--- a/src/main/java/org/plantainloom/coordination/dispatch/TailGuard.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/TailGuard.java
@@ -22,7 +22,7 @@
   private static final long SETTLE_MS = 500;
 
   /** Excess without a known culprit that slows all fill tasks, and that brings them to a halt. */
-  private static final long SLOW_ALL_MS = 700;
+  private static final long SLOW_ALL_MS = 1_000;
 
   private static final long HALT_ALL_MS = 2_000;
   private static final int SLOWED_PERCENT = 40;
@@ -43,6 +43,7 @@
   /** Returns the orders that a fresh look at a worker gives rise to. */
   List<Order> adjust(WorkerState worker, long nowMs) {
     interference.observe(worker, nowMs);
+    worker.unwelcomeImages = interference.unwelcomeImages(worker);
     List<Run> serving = new ArrayList<>();
     List<Run> fill = new ArrayList<>();
     for (Run run : worker.runs.values()) {
--- a/src/main/java/org/plantainloom/coordination/dispatch/WorkerState.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/WorkerState.java
@@ -22,6 +22,9 @@
   WorkerEntry entry;
   boolean registered = true;
 
+  /** Whether it was draining and took its registration back: it is gone once it does not answer. */
+  boolean left;
+
   /** Whether the store lists this worker, so that a later owner will look at it. */
   boolean persisted;
 
@@ -40,6 +43,10 @@
   long nextLookMs;
   int failuresInRow;
   String lastFailedJob = "";
+
+  /** How many fill images disturb a serving task here, as of the last look. */
+  int unwelcomeImages;
+
   long suspendedUntilMs;
   private long suspensionMs = FIRST_SUSPENSION_MS;
   final Map<TaskKey, Run> runs = new HashMap<>();
--- a/src/main/java/org/plantainloom/transport/dispatch/OwnerSession.java
+++ b/src/main/java/org/plantainloom/transport/dispatch/OwnerSession.java
@@ -110,7 +110,7 @@
       for (WorkerEntry worker : record.workers()) {
         knownFromStore.add(worker.id());
         dispatcher.registered(worker, true, now);
-        dispatcher.unregistered(worker.id());
+        dispatcher.unregistered(worker.id(), now);
       }
     }
     Map<String, StoreItem> progressById = new HashMap<>();
@@ -215,7 +215,7 @@
 
     private void remove(String id) {
       registered.remove(id);
-      dispatcher.unregistered(id);
+      dispatcher.unregistered(id, NodeContext.nowMs());
     }
   }
 
--- /dev/null
+++ b/src/test/java/org/plantainloom/coordination/dispatch/DispatcherTest.java
@@ -0,0 +1,280 @@
+package org.plantainloom.coordination.dispatch;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.plantainloom.coordination.dispatch.DispatchSession.job;
+import static org.plantainloom.coordination.dispatch.DispatchSession.serving;
+import static org.plantainloom.coordination.dispatch.DispatchSession.tasks;
+
+import org.plantainloom.state.job.EndKind;
+import org.plantainloom.state.job.JobProgress;
+import org.plantainloom.state.job.JobSpec;
+import org.plantainloom.state.job.JobStatus;
+import org.plantainloom.state.job.TaskKey;
+import org.testng.annotations.Test;
+
+/** Jobs, takeovers, silent workers and orders without an answer. */
+public class DispatcherTest {
+  private static final String ID = "00000000000000aa";
+  private static final TaskKey FIRST = new TaskKey(ID, 0, 0, 0);
+
+  /** The course of a job. */
+  public static class Jobs {
+    @Test
+    public void should_run_phases_in_order_and_complete() {
+      // given
+      DispatchSession session = new DispatchSession(2, 8).run(100);
+      // when
+      session.submit(job(ID, "urgent", tasks(3, 1_000), tasks(2, 1_000, 0))).run(250);
+      // then
+      assertThat(session.startsOf(new TaskKey(ID, 0, 1, 0))).isLessThanOrEqualTo(1);
+      session.run(400);
+      assertThat(session.status(ID)).as(session.log.toString()).isEqualTo(JobStatus.COMPLETED);
+    }
+
+    @Test
+    public void should_not_start_a_phase_before_all_tasks_of_the_one_before_are_done() {
+      // given
+      DispatchSession session = new DispatchSession(1, 2).run(100);
+      // when: only two of three tasks fit at once
+      session.submit(job(ID, "urgent", tasks(3, 1_000), tasks(1, 1_000, 0))).run(300);
+      // then
+      assertThat(session.startsOf(new TaskKey(ID, 0, 1, 0))).isZero();
+    }
+
+    @Test
+    public void should_fail_a_job_whose_task_fails_as_often_as_the_queue_allows() {
+      // given
+      DispatchSession session = new DispatchSession(2, 8).run(100);
+      session.workers.forEach(worker -> worker.failing = true);
+      // when
+      session.submit(job(ID, "urgent", tasks(1, 1_000))).run(3_000);
+      // then
+      assertThat(session.status(ID)).isEqualTo(JobStatus.FAILED);
+      assertThat(session.startsOf(FIRST)).isEqualTo(3);
+    }
+
+    @Test
+    public void should_stop_what_runs_when_a_job_is_cancelled() {
+      // given
+      DispatchSession session = new DispatchSession(1, 8).run(100);
+      session.workMs = 60_000;
+      session.submit(job(ID, "urgent", tasks(2, 1_000))).run(100);
+      // when
+      session.dispatcher.cancelled(ID, session.nowMs);
+      session.run(100);
+      // then
+      assertThat(session.running()).isZero();
+      assertThat(session.status(ID)).isEqualTo(JobStatus.CANCELLED);
+    }
+
+    @Test
+    public void should_never_reserve_more_than_a_worker_has() {
+      // given
+      DispatchSession session = new DispatchSession(1, 2).run(100);
+      session.workMs = 60_000;
+      // when
+      session.submit(job(ID, "urgent", tasks(5, 900))).run(500);
+      // then
+      assertThat(session.running()).isEqualTo(2);
+    }
+
+    @Test
+    public void should_acknowledge_an_end_only_once_it_is_kept() {
+      // given
+      DispatchSession session = new DispatchSession(1, 8).run(100);
+      session.keeping = false;
+      // when
+      session.submit(job(ID, "urgent", tasks(1, 1_000))).run(2_000);
+      // then
+      assertThat(session.workers.get(0).ended).hasSize(1);
+      session.keeping = true;
+      session.run(1_000);
+      assertThat(session.workers.get(0).ended).isEmpty();
+    }
+  }
+
+  /** A new owner after a kill of the former one. */
+  public static class Takeover {
+    private static DispatchSession takenOver(DispatchSession session, JobSpec job) {
+      JobProgress progress = session.kept.getOrDefault(job.id(), JobProgress.NONE);
+      session.begin(2);
+      session.dispatcher.restore(job, progress, 0, session.nowMs);
+      return session;
+    }
+
+    @Test
+    public void should_adopt_what_runs_and_start_nothing_twice() {
+      // given
+      DispatchSession session = new DispatchSession(3, 8).run(100);
+      session.workMs = 2_000;
+      JobSpec job = job(ID, "urgent", tasks(6, 1_000));
+      session.submit(job).run(500);
+      // when
+      takenOver(session, job).run(3_000);
+      // then
+      for (int i = 0; i < 6; i++) {
+        assertThat(session.startsOf(new TaskKey(ID, 0, 0, i))).isEqualTo(1);
+      }
+      assertThat(session.status(ID)).isEqualTo(JobStatus.COMPLETED);
+    }
+
+    @Test
+    public void should_adopt_a_run_that_is_listed_beside_an_older_end_of_its_task() {
+      // given: a run was stopped and started again, and neither was acknowledged
+      DispatchSession session = new DispatchSession(2, 8).run(100);
+      session.workMs = 5_000;
+      session.keeping = false;
+      JobSpec job = job(ID, "urgent", tasks(1, 1_000));
+      session.submit(job).run(100);
+      ModelWorker worker = session.workers.get(session.workers.get(0).running.isEmpty() ? 1 : 0);
+      ModelWorker.ModelRun run = worker.running.get(FIRST);
+      worker.end(FIRST, EndKind.STOPPED);
+      worker.running.put(FIRST, new ModelWorker.ModelRun(run.number + 1, run.phase, 5_000));
+      // when
+      takenOver(session, job).run(1_000);
+      // then
+      assertThat(session.copiesOf(FIRST)).isEqualTo(1);
+      assertThat(session.startsOf(FIRST)).isEqualTo(1);
+    }
+
+    @Test
+    public void should_not_start_inherited_tasks_while_a_worker_has_not_answered() {
+      // given
+      DispatchSession session = new DispatchSession(2, 8).run(100);
+      session.workMs = 60_000;
+      JobSpec job = job(ID, "urgent", tasks(1, 1_000));
+      session.submit(job).run(100);
+      ModelWorker holder = session.workers.get(session.workers.get(0).running.isEmpty() ? 1 : 0);
+      holder.silent = true;
+      // when
+      takenOver(session, job).run(5_000);
+      // then: the lease of the silent worker may still hold
+      assertThat(session.startsOf(FIRST)).isEqualTo(1);
+      // and the task runs again once it cannot
+      session.run(4_000);
+      assertThat(session.startsOf(FIRST)).isEqualTo(2);
+      assertThat(session.copiesOf(FIRST)).isEqualTo(1);
+    }
+
+    @Test
+    public void should_hold_the_room_of_a_run_that_is_being_stopped() {
+      // given: a cancelled job whose task the worker does not stop at once
+      DispatchSession session = new DispatchSession(1, 8).run(100);
+      session.workMs = 60_000;
+      JobSpec job = job(ID, "urgent", tasks(1, 8_000));
+      session.submit(job).run(100);
+      takenOver(session, job);
+      session.dispatcher.cancelled(ID, session.nowMs);
+      // when
+      session.submit(job("00000000000000bb", "urgent", tasks(1, 8_000)));
+      session.run(2_000);
+      // then
+      assertThat(session.log.toString()).contains("run-unwanted");
+      assertThat(session.running()).isEqualTo(1);
+    }
+
+    @Test
+    public void should_number_runs_above_those_of_former_owners() {
+      // given
+      DispatchSession session = new DispatchSession(1, 8).run(100).begin(3).run(100);
+      // when
+      session.submit(job(ID, "urgent", tasks(1, 1_000))).run(50);
+      // then
+      assertThat(session.workers.get(0).running.get(FIRST).number).isGreaterThan(200_000);
+    }
+
+    @Test
+    public void should_not_count_a_failure_twice() {
+      // given: a failed run is kept but its acknowledgement did not reach the worker
+      DispatchSession session = new DispatchSession(1, 8).run(100);
+      session.workers.get(0).failing = true;
+      JobSpec job = job(ID, "urgent", tasks(1, 1_000));
+      session.submit(job).run(230);
+      assertThat(session.kept.get(ID).failures().get(FIRST.toString())).hasSize(1);
+      session.workers.get(0).failing = false;
+      // when
+      takenOver(session, job).run(2_000);
+      // then
+      assertThat(session.status(ID)).isEqualTo(JobStatus.COMPLETED);
+    }
+  }
+
+  /** Workers that do not answer. */
+  public static class Silence {
+    @Test
+    public void should_run_tasks_elsewhere_only_once_the_lease_is_over() {
+      // given
+      DispatchSession session = new DispatchSession(2, 8).run(100);
+      session.workMs = 60_000;
+      session.submit(job(ID, "urgent", tasks(1, 1_000))).run(100);
+      ModelWorker holder = session.workers.get(session.workers.get(0).running.isEmpty() ? 1 : 0);
+      // when
+      holder.silent = true;
+      session.run(5_000);
+      // then
+      assertThat(session.startsOf(FIRST)).isEqualTo(1);
+      session.run(4_000);
+      assertThat(session.startsOf(FIRST)).isEqualTo(2);
+      assertThat(session.copiesOf(FIRST)).isEqualTo(1);
+    }
+
+    @Test
+    public void should_restart_a_lasting_task_of_a_worker_that_stays_silent() {
+      // given
+      DispatchSession session = new DispatchSession(2, 8).run(100);
+      session.submit(job(ID, "urgent", serving(2, 1_000, ""))).run(100);
+      // when
+      session.workers.get(0).silent = true;
+      session.run(9_000);
+      // then
+      assertThat(session.workers.get(1).running).hasSize(2);
+    }
+
+    @Test
+    public void should_run_tasks_elsewhere_at_once_when_a_draining_worker_has_left() {
+      // given
+      DispatchSession session = new DispatchSession(2, 8).run(100);
+      session.workMs = 60_000;
+      session.submit(job(ID, "urgent", tasks(1, 1_000))).run(100);
+      ModelWorker holder = session.workers.get(session.workers.get(0).running.isEmpty() ? 1 : 0);
+      session.dispatcher.registered(holder.draining(), true, session.nowMs);
+      // when
+      holder.silent = true;
+      holder.running.clear();
+      session.dispatcher.unregistered(holder.entry.id(), session.nowMs);
+      session.run(2_000);
+      // then
+      assertThat(session.startsOf(FIRST)).isEqualTo(2);
+    }
+
+    @Test
+    public void should_rule_a_start_without_answer_out_before_starting_elsewhere() {
+      // given
+      DispatchSession session = new DispatchSession(2, 8).run(100);
+      session.workMs = 2_000;
+      session.workers.forEach(worker -> worker.mute = true);
+      // when
+      session.submit(job(ID, "urgent", tasks(1, 1_000))).run(30);
+      session.workers.forEach(worker -> worker.mute = false);
+      session.run(4_000);
+      // then
+      assertThat(session.copiesOf(FIRST)).isLessThanOrEqualTo(1);
+      assertThat(session.status(ID)).isEqualTo(JobStatus.COMPLETED);
+    }
+
+    @Test
+    public void should_move_tasks_off_a_worker_on_which_they_stand_still() {
+      // given
+      DispatchSession session = new DispatchSession(2, 8).run(100);
+      session.workers.get(0).standstill = true;
+      session.workers.get(1).standstill = true;
+      session.submit(job(ID, "urgent", tasks(1, 1_000))).run(100);
+      ModelWorker other = session.workers.get(session.workers.get(0).running.isEmpty() ? 0 : 1);
+      other.standstill = false;
+      // when
+      session.run(6_000);
+      // then
+      assertThat(session.status(ID)).isEqualTo(JobStatus.COMPLETED);
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/org/plantainloom/coordination/dispatch/ModelWorker.java
@@ -0,0 +1,167 @@
+package org.plantainloom.coordination.dispatch;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.plantainloom.state.ResourceVector;
+import org.plantainloom.state.job.EndKind;
+import org.plantainloom.state.job.OrderReply;
+import org.plantainloom.state.job.RunEnd;
+import org.plantainloom.state.job.RunningTask;
+import org.plantainloom.state.job.TaskKey;
+import org.plantainloom.state.job.WorkerEntry;
+import org.plantainloom.state.job.WorkerLook;
+
+/** A worker in virtual time: runs tasks, lists their ends, measures tails under disturbance. */
+final class ModelWorker {
+  private static final double CALM_TAIL_MS = 4;
+  private static final double MEAN_LOAD = 0.42;
+  private static final double SWING = 0.21;
+  private static final double SWING_MS = 10_000;
+
+  /** Spreads the swings of workers evenly, as their users are not the same. */
+  private static final double GOLDEN_RATIO = 0.618;
+
+  private static final double MOST_PRESSURE = 0.98;
+
+  final WorkerEntry entry;
+  final Map<TaskKey, ModelRun> running = new LinkedHashMap<>();
+  final List<RunEnd> ended = new ArrayList<>();
+  final Map<TaskKey, Integer> starts = new HashMap<>();
+  boolean silent;
+  boolean mute;
+  boolean failing;
+  boolean standstill;
+  long leaseUntilMs;
+  private long lastEnd;
+
+  /** A run at the worker. */
+  static final class ModelRun {
+    final long number;
+    final PhaseState phase;
+    double workLeftMs;
+    final double workMs;
+    int pace = 100;
+
+    ModelRun(long number, PhaseState phase, double workMs) {
+      this.number = number;
+      this.phase = phase;
+      this.workMs = workMs;
+      this.workLeftMs = workMs;
+    }
+  }
+
+  ModelWorker(String id, int cores) {
+    this.entry =
+        new WorkerEntry(
+            id,
+            "service",
+            id + ":1",
+            "zone-1",
+            false,
+            new ResourceVector(cores * 1_000, cores * 4_000, 0),
+            List.of("a", "r1"),
+            7);
+  }
+
+  WorkerEntry draining() {
+    return new WorkerEntry(
+        entry.id(),
+        entry.service(),
+        entry.address(),
+        entry.zone(),
+        true,
+        entry.capacity(),
+        entry.labels(),
+        entry.startedAtMs());
+  }
+
+  OrderReply start(Order.Start order, double workMs) {
+    if (silent) {
+      return OrderReply.UNKNOWN;
+    }
+    PhaseState phase = order.run().task.phase;
+    running.put(order.order().task(), new ModelRun(order.order().run(), phase, workMs));
+    starts.merge(order.order().task(), 1, Integer::sum);
+    leaseUntilMs = Math.max(leaseUntilMs, order.leaseUntilMs());
+    return mute ? OrderReply.UNKNOWN : OrderReply.OK;
+  }
+
+  OrderReply stop(Order.Stop order) {
+    if (silent) {
+      return OrderReply.UNKNOWN;
+    }
+    ModelRun run = running.get(order.task());
+    if (run != null && run.number <= order.number()) {
+      end(order.task(), EndKind.STOPPED);
+    }
+    return OrderReply.OK;
+  }
+
+  void pace(Order.Pace order) {
+    ModelRun run = running.get(order.task());
+    if (run != null) {
+      run.pace = order.percent();
+    }
+  }
+
+  void end(TaskKey task, EndKind kind) {
+    ModelRun run = running.remove(task);
+    ended.add(new RunEnd(++lastEnd, task, run.number, kind, ""));
+  }
+
+  void work(long nowMs, long stepMs) {
+    if (leaseUntilMs != 0 && nowMs > leaseUntilMs) {
+      new ArrayList<>(running.keySet()).forEach(task -> end(task, EndKind.LEASE_LAPSED));
+    }
+    for (TaskKey task : new ArrayList<>(running.keySet())) {
+      ModelRun run = running.get(task);
+      if (!run.phase.spec.lasting() && !standstill) {
+        run.workLeftMs -= stepMs * run.pace / 100.0;
+        if (run.workLeftMs <= 0) {
+          end(task, failing ? EndKind.FAILED : EndKind.DONE);
+        }
+      }
+    }
+  }
+
+  void acknowledge(long number) {
+    ended.removeIf(end -> end.number() <= number);
+  }
+
+  WorkerLook look(long nowMs, Disturbance disturbance) {
+    List<RunningTask> rows = new ArrayList<>();
+    running.forEach(
+        (task, run) -> {
+          int percent =
+              run.phase.spec.lasting() ? 100 : (int) (100 - 100 * run.workLeftMs / run.workMs);
+          long recent =
+              run.phase.spec.tailObjectiveMs() > 0
+                  ? tailMs(run.phase, nowMs, disturbance)
+                  : run.phase.spec.need().cpuMillis() * run.pace / 100;
+          rows.add(new RunningTask(task, run.number, "", percent, recent));
+        });
+    return new WorkerLook(nowMs, 7, rows, List.copyOf(ended));
+  }
+
+  /** By how much a fill image disturbs a serving image. */
+  @FunctionalInterface
+  interface Disturbance {
+    double coefficient(String servingImage, String fillImage);
+  }
+
+  long tailMs(PhaseState serving, long nowMs, Disturbance disturbance) {
+    double phase = entry.id().hashCode() * GOLDEN_RATIO;
+    double pressure = MEAN_LOAD + SWING * Math.sin(2 * Math.PI * (nowMs / SWING_MS + phase));
+    for (ModelRun run : running.values()) {
+      if (run.phase.spec.fillsIdleCpu()) {
+        double share =
+            run.phase.spec.need().cpuMillis() * run.pace / 100.0 / entry.capacity().cpuMillis();
+        pressure += disturbance.coefficient(serving.imageKey, run.phase.imageKey) * share;
+      }
+    }
+    return Math.round(CALM_TAIL_MS / (1 - Math.min(MOST_PRESSURE, pressure)));
+  }
+}
