--- a/src/main/java/org/plantainloom/coordination/dispatch/Dispatcher.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/Dispatcher.java
@@ -134,6 +134,8 @@
     }
     if (entry.draining() != worker.entry.draining()) {
       log.decided("worker-draining", entry.id(), "draining=" + entry.draining());
+      // A later owner need not wait for a worker that was draining and is not registered any more.
+      worker.persisted = false;
     }
     worker.entry = entry;
     worker.registered = true;
--- a/src/main/java/org/plantainloom/transport/dispatch/OwnerSession.java
+++ b/src/main/java/org/plantainloom/transport/dispatch/OwnerSession.java
@@ -266,7 +266,7 @@
                     dispatcher.startAnswered(start, reply, now);
                   }));
     } else if (order instanceof Order.Stop stop) {
-      log.decided("run-stop-ordered", stop.task() + "#" + stop.number(), "");
+      log.decided("stop-ordered", stop.task() + "#" + stop.number(), "");
       duty.take(
           node.workers().stop(stop.worker(), stop.task(), stop.number(), fencingToken),
           reply -> answered(() -> dispatcher.stopAnswered(stop, reply, NodeContext.nowMs())));
--- a/src/test/java/org/plantainloom/coordination/dispatch/DispatcherTest.java
+++ b/src/test/java/org/plantainloom/coordination/dispatch/DispatcherTest.java
@@ -173,6 +173,33 @@
       assertThat(session.running()).isEqualTo(1);
     }
 
+    @Test
+    public void should_not_wait_for_a_draining_worker_that_is_gone() {
+      // given: the fleet record names a worker that was draining and is not registered any more
+      DispatchSession session = new DispatchSession(2, 8).run(100);
+      JobSpec job = job(ID, "urgent", tasks(1, 1_000));
+      ModelWorker gone = session.workers.get(0);
+      gone.silent = true;
+      takenOver(session, job);
+      session.dispatcher.registered(gone.draining(), true, session.nowMs);
+      session.dispatcher.unregistered(gone.entry.id(), session.nowMs);
+      // when
+      session.run(2_000);
+      // then
+      assertThat(session.startsOf(FIRST)).isEqualTo(1);
+    }
+
+    @Test
+    public void should_record_that_a_worker_is_draining() {
+      // given
+      DispatchSession session = new DispatchSession(1, 8).run(100);
+      assertThat(session.dispatcher.unpersistedFleet()).isEmpty();
+      // when
+      session.dispatcher.registered(session.workers.get(0).draining(), false, session.nowMs);
+      // then
+      assertThat(session.dispatcher.unpersistedFleet().get().get(0).draining()).isTrue();
+    }
+
     @Test
     public void should_number_runs_above_those_of_former_owners() {
       // given
