--- a/src/main/java/org/plantainloom/program/node/NodeProcess.java
+++ b/src/main/java/org/plantainloom/program/node/NodeProcess.java
@@ -38,6 +38,9 @@
   private static final long KEEP_POLL_MS = 20;
   private static final long KEEP_WITHIN_MS = 600;
 
+  /** Time for the queue of log lines to be written. */
+  private static final long LOG_DRAIN_MS = 50;
+
   /** The longest request waits for the store twice. */
   private static final long MAX_REQUEST_MS = 6_000;
 
@@ -145,6 +148,7 @@
       server.stop().get(leftMs, TimeUnit.MILLISECONDS);
     } finally {
       LOG.infof("event=stopped node=%s", settings.name());
+      Thread.sleep(LOG_DRAIN_MS);
     }
   }
 }
--- a/src/main/java/org/plantainloom/transport/dispatch/JobDesk.java
+++ b/src/main/java/org/plantainloom/transport/dispatch/JobDesk.java
@@ -1,5 +1,7 @@
 package org.plantainloom.transport.dispatch;
 
+import com.codahale.metrics.MetricRegistry;
+import com.codahale.metrics.Timer;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import org.jboss.logging.Logger;
@@ -18,19 +20,25 @@
   private static final Logger LOG = Logger.getLogger(JobDesk.class);
 
   private final LeasedStore store;
+  private final MetricRegistry metrics;
+  private final Timer submissions;
 
-  JobDesk(LeasedStore store) {
+  JobDesk(LeasedStore store, MetricRegistry metrics) {
     this.store = store;
+    this.metrics = metrics;
+    this.submissions = metrics.timer("jobs.submit");
   }
 
   /** Keeps a job under its id; a repeated submission of the same id is the same job. */
   CompletableFuture<DeskReply> submit(JobSpec spec) {
     String key = StoreKeys.job(spec.id());
     Transaction transaction = Transaction.start().expectAbsent(key).write(key, Json.write(spec));
+    Timer.Context timing = submissions.time();
     return store
         .commit(transaction)
         .thenCompose(
             reply -> {
+              timing.stop();
               if (reply instanceof CommitReply.Committed committed) {
                 return done(spec.id(), "accepted", "revision=" + committed.revision());
               } else if (reply instanceof CommitReply.Conflict) {
@@ -123,13 +131,15 @@
     return CompletableFuture.completedFuture(DeskReply.shown(status));
   }
 
-  private static CompletableFuture<DeskReply> done(String jobId, String event, String detail) {
+  private CompletableFuture<DeskReply> done(String jobId, String event, String detail) {
     LOG.infof("event=%s id=%s %s", event, jobId, detail);
+    metrics.counter("jobs." + event).inc();
     return CompletableFuture.completedFuture(DeskReply.DONE);
   }
 
-  private static CompletableFuture<DeskReply> answer(String jobId, DeskReply reply, String reason) {
+  private CompletableFuture<DeskReply> answer(String jobId, DeskReply reply, String reason) {
     LOG.warnf("event=not-served id=%s answer=%s reason=%s", jobId, reply.kind(), reason);
+    metrics.counter("jobs.answered." + reply.kind()).inc();
     return CompletableFuture.completedFuture(reply);
   }
 }
--- a/src/main/java/org/plantainloom/transport/dispatch/Node.java
+++ b/src/main/java/org/plantainloom/transport/dispatch/Node.java
@@ -44,7 +44,7 @@
   private Node(NodeContext context) {
     this.duty = Duty.start("node", TICK_MS, this::tick);
     this.cluster = new ClusterView(context.codec(), this::clusterChanged);
-    this.desk = new JobDesk(context.store());
+    this.desk = new JobDesk(context.store(), context.metrics());
     this.ownership = new Ownership(context, duty, this::after, new SessionSwitch(context));
     duty.execute(
         () -> {
