--- a/src/main/java/org/plantainloom/coordination/dispatch/Dispatcher.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/Dispatcher.java
@@ -13,7 +13,6 @@
 import org.plantainloom.state.job.JobStatus;
 import org.plantainloom.state.job.LookReply;
 import org.plantainloom.state.job.OrderReply;
-import org.plantainloom.state.job.StartOrder;
 import org.plantainloom.state.job.WorkerEntry;
 
 /**
@@ -40,6 +39,9 @@
    */
   private static final long LEFT_WITHIN_MS = 2_500;
 
+  /** Pause before a refused start is tried again; a look in between corrects what was believed. */
+  private static final long REFUSED_PAUSE_MS = 500;
+
   /** How long a look waits for ends to be kept before it repeats them. */
   private static final long UNKEPT_LOOK_MS = 400;
 
@@ -51,7 +53,7 @@
   private final Interference interference = new Interference();
   private final TailGuard tailGuard = new TailGuard(interference);
   private final Placement placement = new Placement(interference);
-  private final WaitingOrder waitingOrder = new WaitingOrder(ClusterConfig.UNKNOWN);
+  private final Starter starter;
   private final StallWatch stalls;
   private final Map<String, WorkerState> workers = new HashMap<>();
   private final List<Order> extraOrders = new ArrayList<>();
@@ -77,6 +79,7 @@
             jobs, log, (term - 1) * RUNS_PER_TERM + 1, name -> config.queue(name).orElse(null));
     this.reports = new WorkerReports(jobs, runs, log, policy);
     this.stalls = new StallWatch(log);
+    this.starter = new Starter(policy, log, runs, placement);
   }
 
   /** Takes over a job that was accepted before this owner began. */
@@ -110,7 +113,7 @@
   public void configure(ClusterConfig newConfig) {
     if (newConfig.version() > config.version()) {
       config = newConfig;
-      waitingOrder.configChanged(newConfig);
+      starter.configure(newConfig);
     }
   }
 
@@ -193,7 +196,7 @@
     expireLeases(nowMs);
     stalls.check(workers.values(), nowMs);
     if (!startsHeld) {
-      place(orders, nowMs, wallMs);
+      orders.addAll(starter.start(jobs.open(), workers.values(), caughtUp, nowMs, wallMs));
     }
     for (WorkerState worker : workers.values()) {
       orderStops(worker, orders, nowMs);
@@ -223,63 +226,6 @@
     }
   }
 
-  private void place(List<Order> orders, long nowMs, long wallMs) {
-    List<Ranked> ready = new ArrayList<>();
-    for (JobState job : jobs.open()) {
-      if (!caughtUp && job.inherited) {
-        continue;
-      }
-      for (List<PhaseState> phases : job.occurrences) {
-        for (PhaseState phase : phases) {
-          if (phase.isReady(wallMs) && !phase.waiting(nowMs).isEmpty()) {
-            ready.add(new Ranked(waitingOrder.rank(phase, wallMs), phase));
-          }
-        }
-      }
-    }
-    ready.sort((a, b) -> a.rank().compareTo(b.rank()));
-    for (Ranked next : ready) {
-      placePhase(next.phase(), orders, nowMs);
-    }
-  }
-
-  private record Ranked(WaitingOrder.Rank rank, PhaseState phase) {}
-
-  private void placePhase(PhaseState phase, List<Order> orders, long nowMs) {
-    JobState job = phase.job;
-    String service = config.queue(job.spec.queue()).map(q -> q.service()).orElse("");
-    List<Run> begun = new ArrayList<>();
-    List<TaskState> waiting = phase.waiting(nowMs);
-    long number = waiting.stream().mapToLong(runs::nextNumber).max().orElse(1);
-    for (TaskState task : waiting) {
-      WorkerState worker = placement.choose(phase, service, workers.values(), nowMs);
-      if (worker == null) {
-        break;
-      }
-      long own = phase.spec.gang() ? number : runs.nextNumber(task);
-      begun.add(runs.begin(task, worker, own, nowMs));
-    }
-    if (phase.spec.gang() && begun.size() < waiting.size()) {
-      begun.forEach(run -> runs.dropped(run, "gang does not fit"));
-      return;
-    }
-    if (!begun.isEmpty() && job.status == JobStatus.QUEUED) {
-      job.status = JobStatus.ACTIVE;
-    }
-    begun.forEach(run -> orders.add(startOrder(run, nowMs)));
-  }
-
-  private Order startOrder(Run run, long nowMs) {
-    WorkerState worker = run.worker;
-    worker.leaseExtended(nowMs, policy);
-    log.decided(
-        "run-ordered", run, "idleCpu=" + worker.idleCpuMillis() + " runs=" + worker.runs.size());
-    StartOrder order =
-        new StartOrder(
-            run.task.key, run.number, run.task.phase.job.spec.payload(), run.task.checkpoint, "");
-    return new Order.Start(run, worker.entry, order, worker.clockAt(nowMs) + policy.leaseMs());
-  }
-
   private static void orderStops(WorkerState worker, List<Order> orders, long nowMs) {
     for (Run run : worker.runs.values()) {
       boolean due = run.stopOrderedMs == 0 || nowMs - run.stopOrderedMs >= RETRY_STOP_MS;
@@ -359,7 +305,10 @@
         run.worker.suspend(nowMs);
         runs.dropped(run, reply.name());
       }
-      case RUN_SUPERSEDED, TOO_LATE, NO_ROOM, NO_PERMIT -> runs.dropped(run, reply.name());
+      case RUN_SUPERSEDED, TOO_LATE, NO_ROOM, NO_PERMIT -> {
+        run.task.notBeforeMs = nowMs + REFUSED_PAUSE_MS;
+        runs.dropped(run, reply.name());
+      }
     }
   }
 
--- /dev/null
+++ b/src/main/java/org/plantainloom/coordination/dispatch/Starter.java
@@ -0,0 +1,100 @@
+package org.plantainloom.coordination.dispatch;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import org.plantainloom.state.job.ClusterConfig;
+import org.plantainloom.state.job.JobStatus;
+import org.plantainloom.state.job.StartOrder;
+
+/** Starts what is ready, in the order of waiting, where there is room. */
+final class Starter {
+  private final DispatchPolicy policy;
+  private final DecisionLog log;
+  private final RunTable runs;
+  private final Placement placement;
+  private final WaitingOrder waitingOrder = new WaitingOrder(ClusterConfig.UNKNOWN);
+  private ClusterConfig config = ClusterConfig.UNKNOWN;
+
+  Starter(DispatchPolicy policy, DecisionLog log, RunTable runs, Placement placement) {
+    this.policy = policy;
+    this.log = log;
+    this.runs = runs;
+    this.placement = placement;
+  }
+
+  void configure(ClusterConfig newConfig) {
+    config = newConfig;
+    waitingOrder.configChanged(newConfig);
+  }
+
+  /**
+   * Returns the starts that are due now, in the order of waiting.
+   *
+   * @param caughtUp whether inherited jobs may start tasks
+   */
+  List<Order> start(
+      Collection<JobState> open,
+      Collection<WorkerState> workers,
+      boolean caughtUp,
+      long nowMs,
+      long wallMs) {
+    List<Order> orders = new ArrayList<>();
+    List<Ranked> ready = new ArrayList<>();
+    for (JobState job : open) {
+      if (!caughtUp && job.inherited) {
+        continue;
+      }
+      for (List<PhaseState> phases : job.occurrences) {
+        for (PhaseState phase : phases) {
+          if (phase.isReady(wallMs) && !phase.waiting(nowMs).isEmpty()) {
+            ready.add(new Ranked(waitingOrder.rank(phase, wallMs), phase));
+          }
+        }
+      }
+    }
+    ready.sort((a, b) -> a.rank().compareTo(b.rank()));
+    for (Ranked next : ready) {
+      startPhase(next.phase(), workers, orders, nowMs);
+    }
+    return orders;
+  }
+
+  private record Ranked(WaitingOrder.Rank rank, PhaseState phase) {}
+
+  private void startPhase(
+      PhaseState phase, Collection<WorkerState> workers, List<Order> orders, long nowMs) {
+    JobState job = phase.job;
+    String service = config.queue(job.spec.queue()).map(q -> q.service()).orElse("");
+    List<Run> begun = new ArrayList<>();
+    List<TaskState> waiting = phase.waiting(nowMs);
+    long number = waiting.stream().mapToLong(runs::nextNumber).max().orElse(1);
+    for (TaskState task : waiting) {
+      WorkerState worker = placement.choose(phase, service, workers, nowMs);
+      if (worker == null) {
+        break;
+      }
+      long own = phase.spec.gang() ? number : runs.nextNumber(task);
+      begun.add(runs.begin(task, worker, own, nowMs));
+    }
+    if (phase.spec.gang() && begun.size() < waiting.size()) {
+      begun.forEach(run -> runs.dropped(run, "gang does not fit"));
+      return;
+    }
+    if (!begun.isEmpty() && job.status == JobStatus.QUEUED) {
+      job.status = JobStatus.ACTIVE;
+    }
+    begun.forEach(run -> orders.add(startOrder(run, nowMs)));
+  }
+
+  private Order startOrder(Run run, long nowMs) {
+    WorkerState worker = run.worker;
+    worker.leaseExtended(nowMs, policy);
+    log.decided(
+        "run-ordered", run, "idleCpu=" + worker.idleCpuMillis() + " runs=" + worker.runs.size());
+    StartOrder order =
+        new StartOrder(
+            run.task.key, run.number, run.task.phase.job.spec.payload(), run.task.checkpoint, "");
+    return new Order.Start(run, worker.entry, order, worker.clockAt(nowMs) + policy.leaseMs());
+  }
+}
--- a/src/test/java/org/plantainloom/coordination/dispatch/DispatcherTest.java
+++ b/src/test/java/org/plantainloom/coordination/dispatch/DispatcherTest.java
@@ -9,6 +9,7 @@
 import org.plantainloom.state.job.JobProgress;
 import org.plantainloom.state.job.JobSpec;
 import org.plantainloom.state.job.JobStatus;
+import org.plantainloom.state.job.OrderReply;
 import org.plantainloom.state.job.TaskKey;
 import org.testng.annotations.Test;
 
@@ -316,6 +317,21 @@
       assertThat(used).isGreaterThanOrEqualTo(6);
     }
 
+    @Test
+    public void should_pause_before_a_refused_start_is_tried_again() {
+      // given: a worker that guards its room and has less than it says
+      DispatchSession session = new DispatchSession(1, 8).run(100);
+      session.workers.get(0).refusal = OrderReply.NO_ROOM;
+      // when
+      session.submit(job(ID, "urgent", tasks(1, 1_000))).run(1_000);
+      // then
+      assertThat(session.orders.stream().filter(o -> o instanceof Order.Start).count())
+          .isLessThanOrEqualTo(3);
+      session.workers.get(0).refusal = OrderReply.OK;
+      session.run(1_000);
+      assertThat(session.status(ID)).isEqualTo(JobStatus.COMPLETED);
+    }
+
     @Test
     public void should_move_tasks_off_a_worker_on_which_they_stand_still() {
       // given
--- a/src/test/java/org/plantainloom/coordination/dispatch/ModelWorker.java
+++ b/src/test/java/org/plantainloom/coordination/dispatch/ModelWorker.java
@@ -34,6 +34,7 @@
   boolean mute;
   boolean failing;
   boolean standstill;
+  OrderReply refusal = OrderReply.OK;
   long leaseUntilMs;
   private long lastEnd;
 
@@ -82,6 +83,9 @@
     if (silent) {
       return OrderReply.UNKNOWN;
     }
+    if (refusal != OrderReply.OK) {
+      return refusal;
+    }
     PhaseState phase = order.run().task.phase;
     running.put(order.order().task(), new ModelRun(order.order().run(), phase, workMs));
     starts.merge(order.order().task(), 1, Integer::sum);
