--- a/src/main/java/org/plantainloom/platform/NodeSettings.java
+++ b/src/main/java/org/plantainloom/platform/NodeSettings.java
@@ -24,6 +24,9 @@
     int maxLeaseMs,
     int stopGraceMs,
     int stopWithinMs) {
+  /** Environment variable in which the platform gives the path of the settings. */
+  public static final String PATH_VARIABLE = "PLANTAINLOOM_BOOT";
+
   private static final int MAX_MS = 600_000;
   private static final int MAX_S = 600;
 
--- a/src/main/java/org/plantainloom/program/node/NodeMain.java
+++ b/src/main/java/org/plantainloom/program/node/NodeMain.java
@@ -5,14 +5,11 @@
 
 /** Entry point of {@code plantainloom-node}. */
 public final class NodeMain {
-  /** Variable in which the platform gives the path of the settings. */
-  private static final String SETTINGS_VARIABLE = "PLANTAINLOOM_BOOT";
-
   private NodeMain() {}
 
   /** Starts a node; without options its settings are those that the platform names. */
   public static void main(String[] args) {
-    String settings = System.getenv(SETTINGS_VARIABLE);
+    String settings = System.getenv(NodeSettings.PATH_VARIABLE);
     String[] used =
         args.length == 0 && settings != null ? new String[] {"--config", settings} : args;
     Program.named("plantainloom-node").run(used, NodeSettings::read, NodeProcess::run);
