Take every step of a planned stop, also after one that timed out

Ruled out: Armeria's quiet period of 0 (suspected before): a whole node that is stopped while 100 submissions wait for a slow store answers all of them (PlannedStopTest.WholeNode, the same with 0 and 200 ms). Change: PlannedStop logs a failed step and takes the next; answers given while stopping close their connection.

--- a/src/main/java/org/plantainloom/platform/standin/PlatformStandin.java
+++ b/src/main/java/org/plantainloom/platform/standin/PlatformStandin.java
@@ -146,6 +146,15 @@
     store.down(down);
   }
 
+  /**
+   * Makes the store answer later than usual.
+   *
+   * @param delayMs the delay in milliseconds; 0 for none
+   */
+  public void delayStore(long delayMs) {
+    store.delay(delayMs);
+  }
+
   /** Makes the store carry out so many transactions without answering. */
   public void loseAnswers(int count) {
     store.loseAnswers(count);
--- a/src/main/java/org/plantainloom/platform/standin/StoreStandin.java
+++ b/src/main/java/org/plantainloom/platform/standin/StoreStandin.java
@@ -37,6 +37,7 @@
   private long forgottenUpTo;
   private boolean down;
   private int loseAnswers;
+  private long delayMs;
 
   private record Item(String value, long revision, long created, long lease) {}
 
@@ -55,6 +56,11 @@
     loseAnswers = count;
   }
 
+  /** Answers later than usual. */
+  synchronized void delay(long newDelayMs) {
+    delayMs = newDelayMs;
+  }
+
   /** Drops the history, as the platform may at any time. */
   synchronized void forgetHistory() {
     forgottenUpTo = revision;
@@ -81,6 +87,16 @@
   }
 
   synchronized HttpResponse answer(AggregatedHttpRequest request) throws IOException {
+    HttpResponse now = answerNow(request);
+    if (delayMs == 0) {
+      return now;
+    }
+    CompletableFuture<HttpResponse> later = new CompletableFuture<>();
+    timers.schedule(() -> later.complete(now), delayMs, TimeUnit.MILLISECONDS);
+    return HttpResponse.of(later);
+  }
+
+  private HttpResponse answerNow(AggregatedHttpRequest request) throws IOException {
     if (down) {
       return HttpResponse.of(HttpStatus.SERVICE_UNAVAILABLE);
     }
--- a/src/main/java/org/plantainloom/program/node/NodeProcess.java
+++ b/src/main/java/org/plantainloom/program/node/NodeProcess.java
@@ -1,6 +1,7 @@
 package org.plantainloom.program.node;
 
 import com.codahale.metrics.MetricRegistry;
+import com.linecorp.armeria.common.HttpRequest;
 import com.linecorp.armeria.common.HttpResponse;
 import com.linecorp.armeria.common.HttpStatus;
 import com.linecorp.armeria.common.MediaType;
@@ -8,6 +9,7 @@
 import com.linecorp.armeria.server.HttpService;
 import com.linecorp.armeria.server.Server;
 import com.linecorp.armeria.server.ServerBuilder;
+import com.linecorp.armeria.server.ServiceRequestContext;
 import java.net.InetSocketAddress;
 import java.util.concurrent.TimeUnit;
 import org.jboss.logging.Logger;
@@ -36,6 +38,10 @@
   private static final long EXIT_MARGIN_MS = 1_000;
 
   private static final long KEEP_POLL_MS = 20;
+
+  /** A node that is too busy to hand over in this time is replaced when its lease ends. */
+  private static final long HAND_OVER_WITHIN_MS = 600;
+
   private static final long KEEP_WITHIN_MS = 600;
 
   /** Time for the queue of log lines to be written. */
@@ -101,11 +107,21 @@
             "/",
             (ctx, request) ->
                 ctx.localAddress().getPort() == callerPort
-                    ? front.serve(ctx, request)
+                    ? serveCaller(front, ctx, request)
                     : control.serve(ctx, request))
         .build();
   }
 
+  /** While the node stops, each answer asks the caller to connect anew, to another node. */
+  @SuppressWarnings("FutureReturnValueIgnored") // the connection closes after its last answer
+  private HttpResponse serveCaller(
+      FrontDoor front, ServiceRequestContext ctx, HttpRequest request) {
+    if (stopping) {
+      ctx.initiateConnectionShutdown();
+    }
+    return front.serve(ctx, request);
+  }
+
   private HttpResponse readiness() {
     boolean ready = node.config().isKnown() && !stopping;
     return HttpResponse.of(ready ? HttpStatus.OK : HttpStatus.SERVICE_UNAVAILABLE);
@@ -130,25 +146,32 @@
     return ExitCode.OK;
   }
 
-  void stop() throws Exception {
+  void stop() {
     LOG.infof("event=stopping node=%s", settings.name());
     stopping = true;
     long askedMs = System.nanoTime() / 1_000_000;
+    PlannedStop.of(settings.name())
+        .step("keep progress", this::awaitKept)
+        .step("hand over", () -> node.resign().get(HAND_OVER_WITHIN_MS, TimeUnit.MILLISECONDS))
+        .step("leave the balancer", () -> Thread.sleep(BALANCER_NOTICE_MS))
+        .step("finish requests", () -> finishRequests(askedMs))
+        .run();
+    LOG.infof("event=stopped node=%s", settings.name());
+    PlannedStop.of(settings.name()).step("write the log", () -> Thread.sleep(LOG_DRAIN_MS)).run();
+  }
+
+  private void awaitKept() throws Exception {
     for (long waited = 0; waited < KEEP_WITHIN_MS; waited += KEEP_POLL_MS) {
       if (node.isKept().get(KEEP_WITHIN_MS, TimeUnit.MILLISECONDS)) {
-        break;
+        return;
       }
       Thread.sleep(KEEP_POLL_MS);
     }
-    node.resign().join();
-    Thread.sleep(BALANCER_NOTICE_MS);
+  }
+
+  private void finishRequests(long askedMs) throws Exception {
     long spentMs = System.nanoTime() / 1_000_000 - askedMs;
     long leftMs = Math.max(1, settings.stopWithinMs() - EXIT_MARGIN_MS - spentMs);
-    try {
-      server.stop().get(leftMs, TimeUnit.MILLISECONDS);
-    } finally {
-      LOG.infof("event=stopped node=%s", settings.name());
-      Thread.sleep(LOG_DRAIN_MS);
-    }
+    server.stop().get(leftMs, TimeUnit.MILLISECONDS);
   }
 }
