Renew leases before the jobs are read

Change: the lists are read side by side; registrations, which carry the worker's clock and are at most one heartbeat old, give the first lease; answers of workers are held back until the jobs are known.

--- a/src/main/java/org/plantainloom/coordination/dispatch/Dispatcher.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/Dispatcher.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import org.plantainloom.state.job.ClusterConfig;
 import org.plantainloom.state.job.JobProgress;
@@ -186,6 +187,20 @@
     return fenced;
   }
 
+  /**
+   * Returns looks that renew the leases of the workers known so far, before the jobs have been
+   * read.
+   *
+   * <p>Answers the load after all nodes were gone: what runs lapses within seconds unless it is
+   * renewed before the new owner has read what was accepted. The answers to these looks must be
+   * held back until the jobs are known.
+   */
+  public List<Order> renewEarly(long nowMs) {
+    List<Order> orders = new ArrayList<>();
+    workers.values().forEach(worker -> orderLook(worker, orders, nowMs));
+    return orders;
+  }
+
   /** Returns all orders that are due now. */
   public List<Order> decide(long nowMs, long wallMs) {
     List<Order> orders = new ArrayList<>(extraOrders);
@@ -245,9 +260,10 @@
     }
     worker.lookInFlight = true;
     Optional<Long> lease = Optional.empty();
+    OptionalLong leaseBase = worker.leaseBase(nowMs);
     // A worker that does not answer is given no longer lease: what it runs has to end by itself.
-    if (worker.isClockKnown() && !worker.unreachable) {
-      lease = Optional.of(worker.clockAt(nowMs) + policy.leaseMs());
+    if (leaseBase.isPresent() && !worker.unreachable) {
+      lease = Optional.of(leaseBase.getAsLong() + policy.leaseMs());
       worker.leaseExtended(nowMs, policy);
     }
     long waitMs = unkept || worker.unreachable || !worker.confirmed ? 0 : waitMs(worker);
--- a/src/main/java/org/plantainloom/coordination/dispatch/WorkerState.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/WorkerState.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.Queue;
 import org.plantainloom.state.ResourceVector;
 import org.plantainloom.state.job.TaskKey;
@@ -111,6 +112,17 @@
     return clockMs + (nowMs - clockReadMs);
   }
 
+  /**
+   * Returns a time that the worker's clock has reached, from which a lease may be given; empty if
+   * none is known. Before the first answer it is the one of the registration, which is older.
+   */
+  OptionalLong leaseBase(long nowMs) {
+    if (isClockKnown()) {
+      return OptionalLong.of(clockAt(nowMs));
+    }
+    return entry.clockMs() > 0 ? OptionalLong.of(entry.clockMs()) : OptionalLong.empty();
+  }
+
   boolean isClockKnown() {
     return clockReadMs >= 0;
   }
--- a/src/main/java/org/plantainloom/platform/PlatformCodec.java
+++ b/src/main/java/org/plantainloom/platform/PlatformCodec.java
@@ -105,7 +105,8 @@
             capacity.path("mem-mb").asInt(),
             capacity.path("gpu").asInt()),
         WireJson.texts(node.path("labels")),
-        node.path("born").asLong());
+        node.path("born").asLong(),
+        node.path("server-time-ms").asLong());
   }
 
   @Override
--- a/src/main/java/org/plantainloom/state/job/WorkerEntry.java
+++ b/src/main/java/org/plantainloom/state/job/WorkerEntry.java
@@ -14,6 +14,7 @@
  * @param capacity what its tasks may reserve together
  * @param labels its kind and its rack
  * @param startedAtMs when this life of it began, in milliseconds since the epoch; 0 if unknown
+ * @param clockMs its own clock when it registered or last told of itself; 0 if unknown
  */
 public record WorkerEntry(
     String id,
@@ -23,7 +24,8 @@
     boolean draining,
     ResourceVector capacity,
     List<String> labels,
-    long startedAtMs) {
+    long startedAtMs,
+    long clockMs) {
 
   /** Returns the rack, which is the last label; empty if there is none. */
   public String rack() {
--- a/src/main/java/org/plantainloom/transport/dispatch/OwnerSession.java
+++ b/src/main/java/org/plantainloom/transport/dispatch/OwnerSession.java
@@ -46,6 +46,10 @@
   private final List<PrefixWatch> watches = new ArrayList<>();
   private final Counter starts;
   private final Timer startAnswers;
+  private Optional<StoreRead.Found> readJobs = Optional.empty();
+  private Optional<StoreRead.Found> readProgress = Optional.empty();
+  private final List<Runnable> earlyAnswers = new ArrayList<>();
+  private boolean fleetKnown;
   private boolean loaded;
   private boolean pumping;
   private boolean closed;
@@ -70,27 +74,30 @@
     this.keeper = new ProgressKeeper(node, duty, delays, dispatcher, held, this::pumpSoon);
     this.starts = node.metrics().counter("runs.ordered");
     this.startAnswers = node.metrics().timer("runs.start-answer");
-    loadFleet();
+    load();
   }
 
-  /** Reads what was accepted before: the fleet, the jobs, then what became of them. */
-  private void loadFleet() {
-    read(StoreKeys.FLEET, items -> loadJobs(items));
-  }
-
-  private void loadJobs(List<StoreItem> fleet) {
-    duty.take(
-        node.store().list(StoreKeys.JOBS),
-        result -> {
-          if (result instanceof StoreRead.Found found) {
-            read(StoreKeys.PROGRESS, progress -> begin(fleet, found, progress));
-          } else {
-            delays.after(RETRY_READ_MS, () -> unlessClosed(() -> loadJobs(fleet)));
-          }
+  /**
+   * Reads what was accepted before. The fleet and the registrations come first, as the leases of
+   * what runs have to be renewed; the answers of the workers wait until the jobs are known.
+   */
+  private void load() {
+    read(StoreKeys.FLEET, this::fleetRead);
+    read(
+        StoreKeys.JOBS,
+        jobs -> {
+          readJobs = Optional.of(jobs);
+          beginWhenRead();
+        });
+    read(
+        StoreKeys.PROGRESS,
+        progress -> {
+          readProgress = Optional.of(progress);
+          beginWhenRead();
         });
   }
 
-  private void read(String prefix, Consumer<List<StoreItem>> next) {
+  private void read(String prefix, Consumer<StoreRead.Found> next) {
     duty.take(
         node.store().list(prefix),
         result -> {
@@ -98,16 +105,16 @@
             return;
           }
           if (result instanceof StoreRead.Found found) {
-            next.accept(found.items());
+            next.accept(found);
           } else {
             delays.after(RETRY_READ_MS, () -> unlessClosed(() -> read(prefix, next)));
           }
         });
   }
 
-  private void begin(List<StoreItem> fleet, StoreRead.Found jobs, List<StoreItem> progress) {
+  private void fleetRead(StoreRead.Found fleet) {
     long now = NodeContext.nowMs();
-    for (StoreItem item : fleet) {
+    for (StoreItem item : fleet.items()) {
       FleetRecord record = Json.read(item.value(), FleetRecord.class);
       for (WorkerEntry worker : record.workers()) {
         knownFromStore.add(worker.id());
@@ -115,10 +122,40 @@
         dispatcher.unregistered(worker.id(), now);
       }
     }
+    fleetKnown = true;
+    watches.add(
+        new PrefixWatch(
+                node.store(), duty, delays, node.codec().workerPrefix(), new WorkerListener())
+            .start());
+    beginWhenRead();
+  }
+
+  private void beginWhenRead() {
+    if (loaded || !fleetKnown || readJobs.isEmpty() || readProgress.isEmpty()) {
+      return;
+    }
+    StoreRead.Found jobs = readJobs.get();
+    restoreJobs(jobs.items(), readProgress.get().items());
+    readJobs = Optional.empty();
+    readProgress = Optional.empty();
+    loaded = true;
+    LOG.infof(
+        "event=takeover-read term=%d jobs=%d open=%d fleet=%d",
+        fencingToken, jobs.items().size(), dispatcher.openJobs(), knownFromStore.size());
+    earlyAnswers.forEach(Runnable::run);
+    earlyAnswers.clear();
+    clusterChanged();
+    watches.add(
+        new PrefixWatch(node.store(), duty, delays, StoreKeys.JOBS, new JobListener())
+            .startAfter(jobs.at()));
+  }
+
+  private void restoreJobs(List<StoreItem> jobs, List<StoreItem> progress) {
+    long now = NodeContext.nowMs();
     Map<String, StoreItem> progressById = new HashMap<>();
     progress.forEach(item -> progressById.put(StoreKeys.jobId(item.key()), item));
     Set<String> cancelled = new HashSet<>();
-    for (StoreItem item : jobs.items()) {
+    for (StoreItem item : jobs) {
       if (StoreKeys.isCancel(item.key())) {
         cancelled.add(StoreKeys.jobId(item.key()));
       } else {
@@ -126,18 +163,6 @@
       }
     }
     cancelled.forEach(id -> dispatcher.cancelled(id, now));
-    loaded = true;
-    LOG.infof(
-        "event=takeover-read term=%d jobs=%d open=%d fleet=%d",
-        fencingToken, jobs.items().size(), dispatcher.openJobs(), knownFromStore.size());
-    clusterChanged();
-    watches.add(
-        new PrefixWatch(node.store(), duty, delays, StoreKeys.JOBS, new JobListener())
-            .startAfter(jobs.at()));
-    watches.add(
-        new PrefixWatch(
-                node.store(), duty, delays, node.codec().workerPrefix(), new WorkerListener())
-            .start());
   }
 
   private void restore(JobSpec spec, StoreItem progress, long now) {
@@ -236,7 +261,7 @@
 
   /** Decides and sends orders after the events that wait already. */
   void pumpSoon() {
-    if (!pumping && loaded && !closed) {
+    if (!pumping && fleetKnown && !closed) {
       pumping = true;
       duty.execute(this::pump);
     }
@@ -248,6 +273,10 @@
       return;
     }
     long now = NodeContext.nowMs();
+    if (!loaded) {
+      dispatcher.renewEarly(now).forEach(order -> send(order, now));
+      return;
+    }
     dispatcher.decide(now, NodeContext.wallMs()).forEach(order -> send(order, now));
     keeper.keep();
     if (dispatcher.isFenced()) {
@@ -295,9 +324,14 @@
   }
 
   private void answered(Runnable action) {
-    if (!closed) {
+    if (closed) {
+      return;
+    }
+    if (loaded) {
       action.run();
       pumpSoon();
+    } else {
+      earlyAnswers.add(action);
     }
   }
 
--- a/src/test/java/org/plantainloom/coordination/dispatch/ModelWorker.java
+++ b/src/test/java/org/plantainloom/coordination/dispatch/ModelWorker.java
@@ -64,7 +64,8 @@
             false,
             new ResourceVector(cores * 1_000, cores * 4_000, 0),
             List.of("a", "r1"),
-            7);
+            7,
+            0);
   }
 
   WorkerEntry draining() {
@@ -76,7 +77,8 @@
         true,
         entry.capacity(),
         entry.labels(),
-        entry.startedAtMs());
+        entry.startedAtMs(),
+        entry.clockMs());
   }
 
   OrderReply start(Order.Start order, double workMs) {
