Make a round of decisions cheaper and rarer under load

Each event caused a round, each round tried each waiting phase on each worker and computed the disturbance of every pair there. Change: one round for all events that wait in the ring, then a pause of twice the round's own time; disturbance is kept per worker and image; a phase like one that has just found no room is not tried again in the round; stalls and stops are looked for only where there can be any.

--- a/src/main/java/org/plantainloom/coordination/dispatch/Dispatcher.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/Dispatcher.java
@@ -242,7 +242,12 @@
   }
 
   private static void orderStops(WorkerState worker, List<Order> orders, long nowMs) {
+    if (!worker.mayHaveStops) {
+      return;
+    }
+    worker.mayHaveStops = false;
     for (Run run : worker.runs.values()) {
+      worker.mayHaveStops |= run.isStopping();
       boolean due = run.stopOrderedMs == 0 || nowMs - run.stopOrderedMs >= RETRY_STOP_MS;
       if (run.isStopping() && !run.stopInFlight && run.stopAnsweredMs < 0 && due) {
         run.stopInFlight = true;
--- a/src/main/java/org/plantainloom/coordination/dispatch/Interference.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/Interference.java
@@ -1,6 +1,8 @@
 package org.plantainloom.coordination.dispatch;
 
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 
 /**
@@ -160,17 +162,15 @@
         * share(fill.spec.need().cpuMillis(), worker);
   }
 
-  /** As {@link #fullPressure}, but also counts pairs of which little is known yet. */
-  private double likelyPressure(Run serving, PhaseState fill, WorkerState worker) {
-    Serving known = servingImages.get(serving.task.phase.imageKey);
-    Integer feature = fillImages.get(fill.imageKey);
+  /** As {@link #coefficient}, but also counts pairs of which little is known yet. */
+  private double likelyCoefficient(String servingImage, String fillImage) {
+    Serving known = servingImages.get(servingImage);
+    Integer feature = fillImages.get(fillImage);
     if (known == null || feature == null) {
       return 0;
     }
     double coefficient = known.estimate.coefficient(feature);
-    return coefficient < LEAST_COEFFICIENT
-        ? 0
-        : coefficient * share(fill.spec.need().cpuMillis(), worker);
+    return coefficient < LEAST_COEFFICIENT ? 0 : coefficient;
   }
 
   /** Returns the pressure that fill tasks may put on a serving task now. */
@@ -211,25 +211,46 @@
    * Returns by how much one more fill task would bring the serving tasks of a worker, together,
    * over their limit when their own load is at its peak; 0 if it would not.
    */
-  double overload(PhaseState fill, WorkerState worker) {
+  double overload(PhaseState fill, WorkerState worker, long nowMs) {
+    double share = share(fill.spec.need().cpuMillis(), worker);
     double total = 0;
-    for (Run serving : worker.runs.values()) {
-      if (serving.task.phase.spec.tailObjectiveMs() <= 0) {
-        continue;
+    for (ServingGroup group : worker.servingGroups(nowMs, this::servingGroups)) {
+      double added = likelyCoefficient(group.image(), fill.imageKey) * share;
+      if (added > 0) {
+        double pressure = added + group.fillPressure() + MEAN_LOAD + PEAK_LOAD;
+        total += group.tasks() * Math.max(0, pressure - group.limit());
       }
-      double added = likelyPressure(serving, fill, worker);
-      if (added == 0) {
-        continue;
+    }
+    return total;
+  }
+
+  private List<ServingGroup> servingGroups(WorkerState worker) {
+    Map<String, List<Run>> byImage = new HashMap<>();
+    for (Run run : worker.runs.values()) {
+      if (run.task.phase.spec.tailObjectiveMs() > 0) {
+        byImage.computeIfAbsent(run.task.phase.imageKey, image -> new ArrayList<>()).add(run);
       }
-      for (Run run : worker.runs.values()) {
-        if (run.task.phase.spec.fillsIdleCpu()) {
-          added += likelyPressure(serving, run.task.phase, worker);
-        }
+    }
+    List<ServingGroup> groups = new ArrayList<>(byImage.size());
+    byImage.forEach((image, runs) -> groups.add(servingGroup(image, runs, worker)));
+    return groups;
+  }
+
+  private ServingGroup servingGroup(String image, List<Run> serving, WorkerState worker) {
+    double pressure = 0;
+    for (Run run : worker.runs.values()) {
+      if (run.task.phase.spec.fillsIdleCpu()) {
+        pressure +=
+            likelyCoefficient(image, run.task.phase.imageKey)
+                * share(run.task.phase.spec.need().cpuMillis(), worker);
       }
-      Serving known = servingImages.get(serving.task.phase.imageKey);
-      double limit = known.limit((double) serving.task.phase.spec.tailObjectiveMs());
-      total += Math.max(0, added + MEAN_LOAD + PEAK_LOAD - limit);
     }
-    return total;
+    Serving known = servingImages.get(image);
+    double limit = 1;
+    for (Run run : serving) {
+      double objective = (double) run.task.phase.spec.tailObjectiveMs();
+      limit = known == null ? limit : Math.min(limit, known.limit(objective));
+    }
+    return new ServingGroup(image, serving.size(), pressure, limit);
   }
 }
--- a/src/main/java/org/plantainloom/coordination/dispatch/PhaseState.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/PhaseState.java
@@ -46,6 +46,16 @@
     return true;
   }
 
+  /** Returns whether any task waits for a worker. */
+  boolean hasWaiting(long nowMs) {
+    for (TaskState task : tasks) {
+      if (task.isPending() && task.notBeforeMs <= nowMs) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   /** Returns the tasks that wait for a worker; for a gang all of them or none. */
   List<TaskState> waiting(long nowMs) {
     List<TaskState> waiting = new ArrayList<>();
--- a/src/main/java/org/plantainloom/coordination/dispatch/Placement.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/Placement.java
@@ -66,7 +66,7 @@
     long bestScore = NOT_HERE;
     for (WorkerState worker : workers) {
       if (worker.entry.service().equals(service) && admits(worker, phase, nowMs)) {
-        long score = score(worker, phase);
+        long score = score(worker, phase, nowMs);
         if (score > bestScore) {
           best = worker;
           bestScore = score;
@@ -122,7 +122,7 @@
     return company;
   }
 
-  private long score(WorkerState worker, PhaseState phase) {
+  private long score(WorkerState worker, PhaseState phase, long nowMs) {
     PhaseSpec spec = phase.spec;
     long score = worker.idleCpuMillis();
     if (!spec.preferredRack().isEmpty() && !worker.entry.labels().contains(spec.preferredRack())) {
@@ -132,7 +132,7 @@
       score -= (long) SPREAD_WEIGHT * phase.tasksOn(worker);
       score += company(worker, phase);
     } else if (spec.fillsIdleCpu()) {
-      double overload = interference.overload(phase, worker);
+      double overload = interference.overload(phase, worker, nowMs);
       score += (long) UNWELCOME_WEIGHT * worker.unwelcomeImages;
       score = overload > MOST_OVERLOAD ? NOT_HERE : score - (long) (OVERLOAD_WEIGHT * overload);
     }
--- a/src/main/java/org/plantainloom/coordination/dispatch/Run.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/Run.java
@@ -51,6 +51,7 @@
 
   void stop() {
     stage = Stage.STOPPING;
+    worker.mayHaveStops = true;
   }
 
   boolean isStopping() {
--- a/src/main/java/org/plantainloom/coordination/dispatch/StallWatch.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/StallWatch.java
@@ -25,13 +25,21 @@
   /** Below this pace a fill task may take long for one percent. */
   private static final int SLOWED_PERCENT = 100;
 
+  /** Looks come at most this often from a worker; checking more often shows nothing new. */
+  private static final long CHECK_EVERY_MS = 200;
+
   private final DecisionLog log;
+  private long checkedMs;
 
   StallWatch(DecisionLog log) {
     this.log = log;
   }
 
   void check(Collection<WorkerState> workers, long nowMs) {
+    if (nowMs - checkedMs < CHECK_EVERY_MS) {
+      return;
+    }
+    checkedMs = nowMs;
     long suspended = workers.stream().filter(w -> w.suspendedUntilMs > nowMs).count();
     for (WorkerState worker : workers) {
       if (worker.unreachable) {
--- a/src/main/java/org/plantainloom/coordination/dispatch/Starter.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/Starter.java
@@ -47,15 +47,16 @@
       }
       for (List<PhaseState> phases : job.occurrences) {
         for (PhaseState phase : phases) {
-          if (phase.isReady(wallMs) && !phase.waiting(nowMs).isEmpty()) {
+          if (phase.isReady(wallMs) && phase.hasWaiting(nowMs)) {
             ready.add(new Ranked(waitingOrder.rank(phase, wallMs), phase));
           }
         }
       }
     }
     ready.sort((a, b) -> a.rank().compareTo(b.rank()));
+    FullFleet full = new FullFleet();
     for (Ranked next : ready) {
-      startPhase(next.phase(), workers, orders, nowMs);
+      startPhase(next.phase(), workers, full, orders, nowMs);
     }
     return orders;
   }
@@ -63,15 +64,25 @@
   private record Ranked(WaitingOrder.Rank rank, PhaseState phase) {}
 
   private void startPhase(
-      PhaseState phase, Collection<WorkerState> workers, List<Order> orders, long nowMs) {
+      PhaseState phase,
+      Collection<WorkerState> workers,
+      FullFleet full,
+      List<Order> orders,
+      long nowMs) {
     JobState job = phase.job;
     String service = config.queue(job.spec.queue()).map(q -> q.service()).orElse("");
+    if (full.hasNoRoomFor(phase, service)) {
+      return;
+    }
     List<Run> begun = new ArrayList<>();
     List<TaskState> waiting = phase.waiting(nowMs);
     long number = waiting.stream().mapToLong(runs::nextNumber).max().orElse(1);
     for (TaskState task : waiting) {
       WorkerState worker = placement.choose(phase, service, workers, nowMs);
       if (worker == null) {
+        if (!phase.spec.gang() || begun.isEmpty()) {
+          full.noRoomFor(phase, service);
+        }
         break;
       }
       long own = phase.spec.gang() ? number : runs.nextNumber(task);
--- a/src/main/java/org/plantainloom/coordination/dispatch/WorkerState.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/WorkerState.java
@@ -3,9 +3,11 @@
 import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.Iterator;
+import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
 import java.util.Queue;
+import java.util.function.Function;
 import org.plantainloom.state.ResourceVector;
 import org.plantainloom.state.job.TaskKey;
 import org.plantainloom.state.job.WorkerEntry;
@@ -20,6 +22,9 @@
   /** Part of its reserved processor time that a serving task uses at most of its load. */
   private static final double SERVING_USE = 0.55;
 
+  /** Within this time the estimates of disturbance change too little to compute them anew. */
+  private static final long GROUPS_FRESH_MS = 300;
+
   WorkerEntry entry;
   boolean registered = true;
 
@@ -42,6 +47,10 @@
   long acknowledged;
   boolean lookInFlight;
   long nextLookMs;
+
+  /** False if no run here is to be stopped. */
+  boolean mayHaveStops;
+
   int failuresInRow;
   String lastFailedJob = "";
 
@@ -52,6 +61,8 @@
   private long suspensionMs = FIRST_SUSPENSION_MS;
   final Map<TaskKey, Run> runs = new HashMap<>();
   final Queue<UnkeptEnd> unkept = new ArrayDeque<>();
+  private List<ServingGroup> servingGroups = List.of();
+  private long servingGroupsMs = Long.MIN_VALUE;
   private ResourceVector reserved = ResourceVector.ZERO;
   private int fillCpuMillis;
   private int servingCpuMillis;
@@ -95,7 +106,18 @@
     }
   }
 
+  /** Returns the groups of serving tasks, as they were at most a short while ago. */
+  List<ServingGroup> servingGroups(
+      long nowMs, Function<WorkerState, List<ServingGroup>> computation) {
+    if (servingGroupsMs == Long.MIN_VALUE || nowMs - servingGroupsMs > GROUPS_FRESH_MS) {
+      servingGroups = computation.apply(this);
+      servingGroupsMs = nowMs;
+    }
+    return servingGroups;
+  }
+
   private void reserve(Run run, int sign) {
+    servingGroupsMs = Long.MIN_VALUE;
     ResourceVector need = run.task.phase.spec.need();
     if (run.task.phase.spec.fillsIdleCpu()) {
       fillCpuMillis += sign * need.cpuMillis();
--- a/src/main/java/org/plantainloom/transport/dispatch/OwnerSession.java
+++ b/src/main/java/org/plantainloom/transport/dispatch/OwnerSession.java
@@ -33,6 +33,9 @@
   private static final Logger LOG = Logger.getLogger(OwnerSession.class);
   private static final long RETRY_READ_MS = 200;
 
+  /** A round of decisions is followed by a pause this many times as long as it took. */
+  private static final int PAUSE_FACTOR = 2;
+
   private final NodeContext node;
   private final Duty duty;
   private final PrefixWatch.Delays delays;
@@ -52,6 +55,7 @@
   private boolean fleetKnown;
   private boolean loaded;
   private boolean pumping;
+  private long nextPumpNanos = System.nanoTime();
   private boolean closed;
 
   OwnerSession(
@@ -269,9 +273,17 @@
 
   private void pump() {
     pumping = false;
-    if (closed) {
+    long startedNanos = System.nanoTime();
+    // Postponed to an event or a tick after the pause: under load one round serves many events.
+    if (closed || startedNanos < nextPumpNanos) {
       return;
     }
+    decideAndSend();
+    long spentNanos = System.nanoTime() - startedNanos;
+    nextPumpNanos = startedNanos + (1 + PAUSE_FACTOR) * spentNanos;
+  }
+
+  private void decideAndSend() {
     long now = NodeContext.nowMs();
     if (!loaded) {
       dispatcher.renewEarly(now).forEach(order -> send(order, now));
--- a/src/main/java/org/plantainloom/transport/duty/Duty.java
+++ b/src/main/java/org/plantainloom/transport/duty/Duty.java
@@ -75,7 +75,10 @@
     return created;
   }
 
-  /** Hands the duty a task; waits while the ring is full. */
+  /**
+   * Hands the duty a task; waits while the ring is full. A task that the duty hands itself runs
+   * after all that waited in the ring.
+   */
   @Override
   public void execute(Runnable task) {
     if (Thread.currentThread() == thread) {
@@ -133,7 +136,9 @@
       Runnable task = slot.task;
       slot.task = null;
       run(task);
-      runOwnTasks();
+      if (endOfBatch) {
+        runOwnTasks();
+      }
       tickIfDue();
     }
 
