Hold back after a takeover only what a silent worker may run

Its draining was never kept: a later owner took each worker of the fleet record for persisted whatever changed. Change: the fleet record holds, for a worker that fell silent, the tasks that it may run; a later owner holds back those and starts the rest. Changes of a worker are kept by every owner. Attempts are checked again when a queue becomes known. Tests, failing before: should_record_that_a_worker_is_draining_also_if_a_former_owner_listed_it, should_start_what_a_worker_known_as_silent_cannot_run, should_fail_a_job_of_which_the_last_failure_is_read_before_the_queues_are.

--- a/src/main/java/org/plantainloom/coordination/dispatch/Dispatcher.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/Dispatcher.java
@@ -8,12 +8,14 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.function.Consumer;
 import org.plantainloom.state.job.ClusterConfig;
 import org.plantainloom.state.job.JobProgress;
 import org.plantainloom.state.job.JobSpec;
 import org.plantainloom.state.job.JobStatus;
 import org.plantainloom.state.job.LookReply;
 import org.plantainloom.state.job.OrderReply;
+import org.plantainloom.state.job.TaskKey;
 import org.plantainloom.state.job.WorkerEntry;
 
 /**
@@ -111,10 +113,13 @@
   }
 
   /** Applies a configuration, unless a newer one is held. */
-  public void configure(ClusterConfig newConfig) {
+  public void configure(ClusterConfig newConfig, long nowMs) {
     if (newConfig.version() > config.version()) {
       config = newConfig;
       starter.configure(newConfig);
+      for (JobState job : List.copyOf(jobs.open())) {
+        runs.failIfAttemptsSpent(job, nowMs);
+      }
     }
   }
 
@@ -123,12 +128,48 @@
     placement.zonesWithdrawn(zones);
   }
 
-  /**
-   * Takes note of a worker's registration.
-   *
-   * @param persisted whether a later owner would know of the worker from the store
-   */
-  public void registered(WorkerEntry entry, boolean persisted, long nowMs) {
+  /** Takes over a worker that a former owner used; it may not be registered any more. */
+  public void inherited(FleetMember member, long nowMs) {
+    WorkerEntry entry = member.entry();
+    registered(entry, nowMs);
+    WorkerState worker = workers.get(entry.id());
+    worker.persisted = true;
+    worker.possibleTasks = member.silentTasks();
+    unregistered(entry.id(), nowMs);
+  }
+
+  /** Takes note that all jobs of former owners were restored. */
+  public void allRestored() {
+    for (WorkerState worker : workers.values()) {
+      worker.possibleTasks.ifPresent(keys -> forEachTask(keys, task -> task.possiblyOn = worker));
+    }
+  }
+
+  private void forEachTask(Collection<TaskKey> keys, Consumer<TaskState> action) {
+    for (TaskKey key : keys) {
+      JobState job = jobs.job(key.jobId());
+      TaskState task = job == null ? null : job.task(key);
+      if (task != null) {
+        action.accept(task);
+      }
+    }
+  }
+
+  private void resolvePossibleTasks(WorkerState worker) {
+    worker.possibleTasks.ifPresent(
+        keys ->
+            forEachTask(
+                keys,
+                task -> {
+                  if (task.possiblyOn == worker) {
+                    task.possiblyOn = null;
+                  }
+                }));
+    worker.possibleTasks = Optional.empty();
+  }
+
+  /** Takes note of a worker's registration. */
+  public void registered(WorkerEntry entry, long nowMs) {
     WorkerState worker = workers.get(entry.id());
     if (worker == null) {
       worker = new WorkerState(entry, nowMs);
@@ -144,7 +185,6 @@
     worker.entry = entry;
     worker.registered = true;
     worker.left = false;
-    worker.persisted |= persisted;
   }
 
   /** Takes note that a worker is no longer registered; it may still run on. */
@@ -158,19 +198,20 @@
   }
 
   /** Returns the workers that a later owner has to ask, or empty if the store lists them. */
-  public Optional<List<WorkerEntry>> unpersistedFleet() {
+  public Optional<List<FleetMember>> unpersistedFleet() {
     boolean all = workers.values().stream().allMatch(w -> w.persisted);
     return all && !fleetShrunk
         ? Optional.empty()
-        : Optional.of(workers.values().stream().map(w -> w.entry).toList());
+        : Optional.of(workers.values().stream().map(WorkerState::member).toList());
   }
 
   /** Takes note that the store lists these workers. */
-  public void fleetPersisted(List<WorkerEntry> fleet) {
+  public void fleetPersisted(List<FleetMember> fleet) {
     fleetShrunk = false;
-    for (WorkerEntry entry : fleet) {
-      WorkerState worker = workers.get(entry.id());
-      if (worker != null) {
+    for (FleetMember member : fleet) {
+      WorkerState worker = workers.get(member.entry().id());
+      // A worker that fell silent or came back meanwhile has to be listed anew.
+      if (worker != null && worker.member().isLike(member)) {
         worker.persisted = true;
       }
     }
@@ -225,6 +266,7 @@
       boolean over = worker.lastAnswerMs + policy.catchUpMs() < nowMs && worker.leaseOverMs < nowMs;
       if (worker.unreachable && (over || worker.left)) {
         runs.lostAll(worker, worker.left ? "left" : "lease over", nowMs);
+        resolvePossibleTasks(worker);
         if (!worker.registered) {
           workers.remove(worker.id());
           fleetShrunk = true;
@@ -233,7 +275,8 @@
       }
     }
     if (!caughtUp) {
-      boolean all = workers.values().stream().allMatch(w -> w.confirmed);
+      boolean all =
+          workers.values().stream().allMatch(w -> w.confirmed || w.possibleTasks.isPresent());
       caughtUp = all || nowMs > ownedSinceMs + policy.catchUpMs();
       if (caughtUp) {
         log.decided("caught-up", "fleet", "workers=" + workers.size() + " all=" + all);
@@ -291,6 +334,7 @@
     worker.lookInFlight = false;
     if (reply instanceof LookReply.Seen seen) {
       extraOrders.addAll(reports.apply(worker, seen.look(), sentMs, nowMs));
+      resolvePossibleTasks(worker);
       extraOrders.addAll(tailGuard.adjust(worker, nowMs));
       worker.nextLookMs = nowMs + UNKEPT_LOOK_MS;
     } else if (reply instanceof LookReply.Fenced) {
@@ -299,6 +343,7 @@
       worker.nextLookMs = nowMs + RETRY_LOOK_MS;
       if (!worker.unreachable) {
         worker.unreachable = true;
+        worker.persisted = false;
         log.decided("worker-silent", worker.id(), "reason=" + missing.reason());
       }
     }
--- a/src/main/java/org/plantainloom/coordination/dispatch/RunTable.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/RunTable.java
@@ -4,7 +4,6 @@
 import java.util.List;
 import org.plantainloom.state.job.EndKind;
 import org.plantainloom.state.job.JobStatus;
-import org.plantainloom.state.job.PhaseSpec;
 import org.plantainloom.state.job.QueueConfig;
 
 /** What the start, the end or the loss of a run means for its task and its job. */
@@ -122,12 +121,25 @@
   }
 
   private void failed(TaskState task, long nowMs) {
-    PhaseSpec spec = task.phase.spec;
     JobState job = task.phase.job;
     task.notBeforeMs = nowMs + RETRY_PAUSE_MS;
     jobs.changed(job);
+    failIfAttemptsSpent(job, task, nowMs);
+  }
+
+  /** Ends a job of which a task has failed as often as its queue allows. */
+  void failIfAttemptsSpent(JobState job, long nowMs) {
+    job.forEachTask(
+        task -> {
+          if (!task.failures.isEmpty()) {
+            failIfAttemptsSpent(job, task, nowMs);
+          }
+        });
+  }
+
+  private void failIfAttemptsSpent(JobState job, TaskState task, long nowMs) {
     QueueConfig queue = config.queue(job.spec.queue());
-    if (job.isOver() || spec.lasting() || queue == null) {
+    if (job.isOver() || task.phase.spec.lasting() || queue == null) {
       return;
     }
     int attempts = task.phase.attemptsFailed(task);
--- a/src/main/java/org/plantainloom/coordination/dispatch/TaskState.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/TaskState.java
@@ -15,13 +15,16 @@
   long lastRun;
   long notBeforeMs;
 
+  /** A silent worker on which a former owner may have started it; null if there is none. */
+  WorkerState possiblyOn;
+
   TaskState(TaskKey key, PhaseState phase) {
     this.key = key;
     this.phase = phase;
   }
 
   boolean isPending() {
-    return !done && runs.isEmpty();
+    return !done && runs.isEmpty() && possiblyOn == null;
   }
 
   /** Takes note of a failed run; false if it was known. */
--- a/src/main/java/org/plantainloom/coordination/dispatch/WorkerReports.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/WorkerReports.java
@@ -47,6 +47,7 @@
     worker.lastAnswerMs = nowMs;
     if (worker.unreachable) {
       worker.unreachable = false;
+      worker.persisted = false;
       log.decided("worker-regained", worker.id(), "runs=" + worker.runs.size());
     }
     worker.confirmed = true;
--- a/src/main/java/org/plantainloom/coordination/dispatch/WorkerState.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/WorkerState.java
@@ -3,10 +3,13 @@
 import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.Iterator;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Queue;
+import java.util.Set;
 import java.util.function.Function;
 import org.plantainloom.state.ResourceVector;
 import org.plantainloom.state.job.TaskKey;
@@ -34,6 +37,9 @@
   /** Whether the store lists this worker, so that a later owner will look at it. */
   boolean persisted;
 
+  /** Tasks of former owners that it may run, if these are known although it does not answer. */
+  Optional<List<TaskKey>> possibleTasks = Optional.empty();
+
   /** Whether it has answered a look that carried the present fencing token. */
   boolean confirmed;
 
@@ -81,6 +87,18 @@
     return entry.id();
   }
 
+  /** Returns what a later owner has to know. */
+  FleetMember member() {
+    if (!unreachable) {
+      return new FleetMember(entry, possibleTasks);
+    }
+    Set<TaskKey> tasks = new LinkedHashSet<>(runs.keySet());
+    possibleTasks.ifPresent(tasks::addAll);
+    // What a former owner may have started here is not known before the first answer.
+    boolean known = confirmed || possibleTasks.isPresent();
+    return new FleetMember(entry, known ? Optional.of(List.copyOf(tasks)) : Optional.empty());
+  }
+
   ResourceVector reserved() {
     return reserved;
   }
--- a/src/main/java/org/plantainloom/transport/dispatch/OwnerSession.java
+++ b/src/main/java/org/plantainloom/transport/dispatch/OwnerSession.java
@@ -14,11 +14,13 @@
 import org.jboss.logging.Logger;
 import org.plantainloom.coordination.dispatch.DecisionLog;
 import org.plantainloom.coordination.dispatch.Dispatcher;
+import org.plantainloom.coordination.dispatch.FleetMember;
 import org.plantainloom.coordination.dispatch.Order;
 import org.plantainloom.protocol.Json;
 import org.plantainloom.protocol.MalformedMessageException;
 import org.plantainloom.state.job.JobProgress;
 import org.plantainloom.state.job.JobSpec;
+import org.plantainloom.state.job.TaskKey;
 import org.plantainloom.state.job.WorkerEntry;
 import org.plantainloom.state.store.StoreEvent;
 import org.plantainloom.state.store.StoreItem;
@@ -45,13 +47,13 @@
   private final Dispatcher dispatcher;
   private final ProgressKeeper keeper;
   private final long fencingToken;
-  private final Set<String> knownFromStore = new HashSet<>();
   private final List<PrefixWatch> watches = new ArrayList<>();
   private final Counter starts;
   private final Timer startAnswers;
   private Optional<StoreRead.Found> readJobs = Optional.empty();
   private Optional<StoreRead.Found> readProgress = Optional.empty();
   private final List<Runnable> earlyAnswers = new ArrayList<>();
+  private int fleetSize;
   private boolean fleetKnown;
   private boolean loaded;
   private boolean pumping;
@@ -121,10 +123,9 @@
     for (StoreItem item : fleet.items()) {
       FleetRecord record = Json.read(item.value(), FleetRecord.class);
       for (WorkerEntry worker : record.workers()) {
-        knownFromStore.add(worker.id());
-        dispatcher.registered(worker, true, now);
-        dispatcher.unregistered(worker.id(), now);
+        dispatcher.inherited(new FleetMember(worker, silentTasks(record, worker)), now);
       }
+      fleetSize += record.workers().size();
     }
     fleetKnown = true;
     watches.add(
@@ -134,6 +135,11 @@
     beginWhenRead();
   }
 
+  private static Optional<List<TaskKey>> silentTasks(FleetRecord record, WorkerEntry worker) {
+    return Optional.ofNullable(record.silentTasks().get(worker.id()))
+        .map(keys -> keys.stream().map(TaskKey::parse).flatMap(Optional::stream).toList());
+  }
+
   private void beginWhenRead() {
     if (loaded || !fleetKnown || readJobs.isEmpty() || readProgress.isEmpty()) {
       return;
@@ -145,10 +151,10 @@
     loaded = true;
     LOG.infof(
         "event=takeover-read term=%d jobs=%d open=%d fleet=%d",
-        fencingToken, jobs.items().size(), dispatcher.openJobs(), knownFromStore.size());
+        fencingToken, jobs.items().size(), dispatcher.openJobs(), fleetSize);
+    clusterChanged();
     earlyAnswers.forEach(Runnable::run);
     earlyAnswers.clear();
-    clusterChanged();
     watches.add(
         new PrefixWatch(node.store(), duty, delays, StoreKeys.JOBS, new JobListener())
             .startAfter(jobs.at()));
@@ -167,6 +173,7 @@
       }
     }
     cancelled.forEach(id -> dispatcher.cancelled(id, now));
+    dispatcher.allRestored();
   }
 
   private void restore(JobSpec spec, StoreItem progress, long now) {
@@ -237,8 +244,7 @@
       Optional<WorkerEntry> worker = node.codec().worker(key, value);
       if (worker.isPresent()) {
         registered.add(worker.get().id());
-        dispatcher.registered(
-            worker.get(), knownFromStore.contains(worker.get().id()), NodeContext.nowMs());
+        dispatcher.registered(worker.get(), NodeContext.nowMs());
       } else {
         LOG.warnf("event=registration-unreadable key=%s", key);
       }
@@ -252,7 +258,7 @@
 
   /** Hands the operators' wishes to the dispatcher. */
   void clusterChanged() {
-    dispatcher.configure(cluster.config());
+    dispatcher.configure(cluster.config(), NodeContext.nowMs());
     dispatcher.withdrawZones(cluster.withdrawnZones());
     pumpSoon();
   }
--- a/src/main/java/org/plantainloom/transport/dispatch/ProgressKeeper.java
+++ b/src/main/java/org/plantainloom/transport/dispatch/ProgressKeeper.java
@@ -1,12 +1,16 @@
 package org.plantainloom.transport.dispatch;
 
 import com.codahale.metrics.Counter;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import org.jboss.logging.Logger;
 import org.plantainloom.coordination.dispatch.Dispatcher;
+import org.plantainloom.coordination.dispatch.FleetMember;
 import org.plantainloom.coordination.dispatch.ProgressBatch;
 import org.plantainloom.protocol.Json;
+import org.plantainloom.state.job.TaskKey;
 import org.plantainloom.state.job.WorkerEntry;
 import org.plantainloom.state.store.CommitReply;
 import org.plantainloom.state.store.StoreItem;
@@ -65,7 +69,7 @@
     if (busy || closed) {
       return;
     }
-    Optional<List<WorkerEntry>> fleet = dispatcher.unpersistedFleet();
+    Optional<List<FleetMember>> fleet = dispatcher.unpersistedFleet();
     if (fleet.isPresent()) {
       keepFleet(fleet.get());
       return;
@@ -86,12 +90,24 @@
     return Transaction.start().expect(StoreKeys.OWNER, held.revision());
   }
 
-  private void keepFleet(List<WorkerEntry> fleet) {
+  private void keepFleet(List<FleetMember> fleet) {
+    Map<String, List<String>> silentTasks = new HashMap<>();
+    for (FleetMember member : fleet) {
+      member
+          .silentTasks()
+          .ifPresent(
+              keys ->
+                  silentTasks.put(
+                      member.entry().id(), keys.stream().map(TaskKey::toString).toList()));
+    }
+    List<WorkerEntry> workers = fleet.stream().map(FleetMember::entry).toList();
     commit(
-        fenced().write(StoreKeys.FLEET, Json.write(new FleetRecord(fleet))),
+        fenced().write(StoreKeys.FLEET, Json.write(new FleetRecord(workers, silentTasks))),
         revision -> {
           dispatcher.fleetPersisted(fleet);
-          LOG.infof("event=fleet-kept workers=%d revision=%d", fleet.size(), revision);
+          LOG.infof(
+              "event=fleet-kept workers=%d silent=%d revision=%d",
+              fleet.size(), silentTasks.size(), revision);
         },
         current -> {});
   }
--- a/src/test/java/org/plantainloom/coordination/dispatch/DispatchSession.java
+++ b/src/test/java/org/plantainloom/coordination/dispatch/DispatchSession.java
@@ -35,6 +35,7 @@
   long nowMs = 1_000_000;
   Dispatcher dispatcher;
   private final List<Look> looks = new ArrayList<>();
+  private List<FleetMember> keptFleet = List.of();
   private long revision;
 
   private record Look(Order.Look order, ModelWorker worker, long sentMs) {}
@@ -46,21 +47,32 @@
     begin(1);
   }
 
+  /** Starts a new owner that knows the fleet, but not the queues yet. */
+  DispatchSession beginWithoutConfig(long term) {
+    return begin(term, ClusterConfig.UNKNOWN);
+  }
+
   /** Starts a new owner; the workers run on. */
   DispatchSession begin(long term) {
+    return begin(term, config());
+  }
+
+  private DispatchSession begin(long term, ClusterConfig config) {
     dispatcher =
         new Dispatcher(
             term,
             DispatchPolicy.of(MAX_LEASE_MS, STOP_GRACE_MS),
             (event, subject, detail) -> log.add(nowMs + " " + event + " " + subject + " " + detail),
             nowMs);
-    dispatcher.configure(config());
-    workers.forEach(worker -> dispatcher.registered(worker.entry, true, nowMs));
+    dispatcher.configure(config, nowMs);
+    keptFleet.forEach(member -> dispatcher.inherited(member, nowMs));
+    workers.forEach(worker -> dispatcher.registered(worker.entry, nowMs));
     looks.clear();
+    keepFleet();
     return this;
   }
 
-  private static ClusterConfig config() {
+  static ClusterConfig config() {
     return new ClusterConfig(1, List.of(queue("urgent", 0), queue("fill", 2)), List.of(), 10_000);
   }
 
@@ -129,7 +141,18 @@
     return this;
   }
 
+  private void keepFleet() {
+    dispatcher
+        .unpersistedFleet()
+        .ifPresent(
+            fleet -> {
+              keptFleet = fleet;
+              dispatcher.fleetPersisted(fleet);
+            });
+  }
+
   private void keep() {
+    keepFleet();
     Optional<ProgressBatch> batch = keeping ? dispatcher.takeBatch() : Optional.empty();
     if (batch.isPresent()) {
       batch.get().entries().forEach(entry -> kept.put(entry.jobId(), entry.progress()));
--- a/src/test/java/org/plantainloom/coordination/dispatch/DispatcherTest.java
+++ b/src/test/java/org/plantainloom/coordination/dispatch/DispatcherTest.java
@@ -100,6 +100,7 @@
       JobProgress progress = session.kept.getOrDefault(job.id(), JobProgress.NONE);
       session.begin(2);
       session.dispatcher.restore(job, progress, 0, session.nowMs);
+      session.dispatcher.allRestored();
       return session;
     }
 
@@ -182,7 +183,7 @@
       ModelWorker gone = session.workers.get(0);
       gone.silent = true;
       takenOver(session, job);
-      session.dispatcher.registered(gone.draining(), true, session.nowMs);
+      session.dispatcher.registered(gone.draining(), session.nowMs);
       session.dispatcher.unregistered(gone.entry.id(), session.nowMs);
       // when
       session.run(2_000);
@@ -196,9 +197,82 @@
       DispatchSession session = new DispatchSession(1, 8).run(100);
       assertThat(session.dispatcher.unpersistedFleet()).isEmpty();
       // when
-      session.dispatcher.registered(session.workers.get(0).draining(), false, session.nowMs);
+      session.dispatcher.registered(session.workers.get(0).draining(), session.nowMs);
       // then
-      assertThat(session.dispatcher.unpersistedFleet().get().get(0).draining()).isTrue();
+      assertThat(session.dispatcher.unpersistedFleet().get().get(0).entry().draining()).isTrue();
+    }
+
+    @Test
+    public void should_record_that_a_worker_is_draining_also_if_a_former_owner_listed_it() {
+      // given: hengtai scale-1, a second owner; the next one waited 6 s for a worker that had left
+      DispatchSession session = new DispatchSession(1, 8).run(100).begin(2).run(100);
+      // when
+      session.dispatcher.registered(session.workers.get(0).draining(), session.nowMs);
+      // then
+      assertThat(session.dispatcher.unpersistedFleet().get().get(0).entry().draining()).isTrue();
+    }
+
+    @Test
+    public void should_start_what_a_worker_known_as_silent_cannot_run() {
+      // given: the former owner listed what the silent worker may run before it was killed
+      DispatchSession session = new DispatchSession(3, 8).run(100);
+      session.workMs = 60_000;
+      JobSpec held = job(ID, "urgent", tasks(1, 1_000));
+      session.submit(held).run(100);
+      session.workers.stream()
+          .filter(worker -> !worker.running.isEmpty())
+          .forEach(worker -> worker.silent = true);
+      session.run(3_000);
+      // when
+      JobSpec waiting = job("00000000000000bb", "urgent", tasks(1, 1_000));
+      takenOver(session, waiting);
+      session.dispatcher.restore(held, JobProgress.NONE, 0, session.nowMs);
+      session.dispatcher.allRestored();
+      session.run(500);
+      // then
+      assertThat(session.startsOf(new TaskKey("00000000000000bb", 0, 0, 0))).isEqualTo(1);
+      assertThat(session.startsOf(FIRST)).isEqualTo(1);
+      // and what it may run starts again once its lease cannot hold
+      session.run(9_000);
+      assertThat(session.startsOf(FIRST)).isEqualTo(2);
+      assertThat(session.copiesOf(FIRST)).isEqualTo(1);
+    }
+
+    @Test
+    public void should_fail_a_job_of_which_the_last_failure_is_read_before_the_queues_are() {
+      // given: hengtai scale-1, the owner was killed between the third failure and keeping it
+      DispatchSession session = new DispatchSession(1, 8).run(100);
+      session.workers.get(0).failing = true;
+      session.keeping = false;
+      JobSpec job = job(ID, "urgent", tasks(1, 1_000));
+      session.submit(job).run(3_000);
+      assertThat(session.startsOf(FIRST)).isEqualTo(3);
+      // when
+      session.beginWithoutConfig(2);
+      session.dispatcher.restore(job, JobProgress.NONE, 0, session.nowMs);
+      session.dispatcher.allRestored();
+      session.run(500);
+      session.keeping = true;
+      session.dispatcher.configure(DispatchSession.config(), session.nowMs);
+      session.run(2_000);
+      // then
+      assertThat(session.startsOf(FIRST)).isEqualTo(3);
+      assertThat(session.status(ID)).isEqualTo(JobStatus.FAILED);
+    }
+
+    @Test
+    public void should_renew_leases_before_the_jobs_are_known() {
+      // given
+      DispatchSession session = new DispatchSession(2, 8).run(100).begin(2);
+      // when
+      var orders = session.dispatcher.renewEarly(session.nowMs);
+      // then: from the clock with which the workers registered
+      assertThat(orders)
+          .hasSize(2)
+          .allSatisfy(
+              order ->
+                  assertThat(((Order.Look) order).leaseUntilMs())
+                      .hasValue(ModelWorker.REGISTERED_CLOCK_MS + DispatchSession.MAX_LEASE_MS));
     }
 
     @Test
@@ -265,7 +339,7 @@
       session.workMs = 60_000;
       session.submit(job(ID, "urgent", tasks(1, 1_000))).run(100);
       ModelWorker holder = session.workers.get(session.workers.get(0).running.isEmpty() ? 1 : 0);
-      session.dispatcher.registered(holder.draining(), true, session.nowMs);
+      session.dispatcher.registered(holder.draining(), session.nowMs);
       // when
       holder.silent = true;
       holder.running.clear();
--- a/src/test/java/org/plantainloom/coordination/dispatch/ModelWorker.java
+++ b/src/test/java/org/plantainloom/coordination/dispatch/ModelWorker.java
@@ -16,6 +16,9 @@
 
 /** A worker in virtual time: runs tasks, lists their ends, measures tails under disturbance. */
 final class ModelWorker {
+  /** The clock with which it registered; it lies before all sessions. */
+  static final long REGISTERED_CLOCK_MS = 900_000;
+
   private static final double CALM_TAIL_MS = 4;
   private static final double MEAN_LOAD = 0.42;
   private static final double SWING = 0.21;
@@ -65,7 +68,7 @@
             new ResourceVector(cores * 1_000, cores * 4_000, 0),
             List.of("a", "r1"),
             7,
-            0);
+            REGISTERED_CLOCK_MS);
   }
 
   WorkerEntry draining() {
