Renew early only workers that are registered

Cause: the first look at a worker known from the fleet record alone used the clock of that record, minutes old, and kept the fresher clock of the registration from being used.

--- a/src/main/java/org/plantainloom/coordination/dispatch/Dispatcher.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/Dispatcher.java
@@ -238,7 +238,12 @@
    */
   public List<Order> renewEarly(long nowMs) {
     List<Order> orders = new ArrayList<>();
-    workers.values().forEach(worker -> orderLook(worker, orders, nowMs));
+    for (WorkerState worker : workers.values()) {
+      // The clock of a worker that was only read from the fleet may be minutes old.
+      if (worker.registered) {
+        orderLook(worker, orders, nowMs);
+      }
+    }
     return orders;
   }
 
