--- a/src/main/java/org/plantainloom/platform/standin/PlatformStandin.java
+++ b/src/main/java/org/plantainloom/platform/standin/PlatformStandin.java
@@ -11,9 +11,11 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.function.UnaryOperator;
 
 /**
  * The users' platform in the small, on loopback: a store and workers that keep its rules.
@@ -38,21 +40,27 @@
 
   private static final String LOOPBACK = "127.0.0.1";
   private static final long EXPIRY_PACE_MS = 50;
+  private static final long HEARTBEAT_MS = 1_000;
+  private static final int ZONES = 2;
 
   private final ScheduledExecutorService timers = Executors.newScheduledThreadPool(1);
   private final StoreStandin store = new StoreStandin(timers);
-  private final RunLedger ledger = new RunLedger();
+  private Optional<RunLedger> ledger = Optional.empty();
   private final List<WorkerStandin> workers = new ArrayList<>();
   private final List<Server> servers = new ArrayList<>();
 
-  private PlatformStandin(int workerCount, long taskMs) {
+  private PlatformStandin(
+      int workerCount, long taskMs, RunObserver observer, UnaryOperator<String> published) {
     servers.add(serve(store::answer));
     for (int i = 0; i < workerCount; i++) {
-      WorkerStandin worker = new WorkerStandin("i-" + i, taskMs, timers, ledger);
+      WorkerStandin worker = new WorkerStandin("i-" + i, taskMs, timers, observer);
       workers.add(worker);
       Server server = serve(worker::answer);
       servers.add(server);
-      register(worker, server);
+      String address = published.apply(LOOPBACK + ":" + server.activeLocalPort());
+      String zone = "zone-" + (1 + i % ZONES);
+      timers.scheduleAtFixedRate(
+          () -> register(worker, address, zone), 0, HEARTBEAT_MS, TimeUnit.MILLISECONDS);
     }
     timers.scheduleAtFixedRate(
         store::expireLeases, EXPIRY_PACE_MS, EXPIRY_PACE_MS, TimeUnit.MILLISECONDS);
@@ -97,19 +105,34 @@
    * @param taskMs how long each task runs, in milliseconds
    */
   public static PlatformStandin start(int workerCount, long taskMs) {
-    return new PlatformStandin(workerCount, taskMs);
+    RunLedger ledger = new RunLedger();
+    PlatformStandin platform = start(workerCount, taskMs, ledger, UnaryOperator.identity());
+    platform.ledger = Optional.of(ledger);
+    return platform;
   }
 
-  private void register(WorkerStandin worker, Server server) {
+  /**
+   * Starts a platform that tells an observer what runs.
+   *
+   * @param published gives for a worker's address the one that it registers, such as a proxy's
+   */
+  public static PlatformStandin start(
+      int workerCount, long taskMs, RunObserver observer, UnaryOperator<String> published) {
+    return new PlatformStandin(workerCount, taskMs, observer, published);
+  }
+
+  private void register(WorkerStandin worker, String address, String zone) {
     store.put(
         "servers/" + worker.id(),
         "{\"service\":\"service\",\"address\":\""
-            + LOOPBACK
-            + ":"
-            + server.activeLocalPort()
-            + "\",\"zone\":\"zone-1\",\"version\":\"v1\",\"slots\":8,\"state\":\"ready\","
+            + address
+            + "\",\"zone\":\""
+            + zone
+            + "\",\"version\":\"v1\",\"slots\":8,\"state\":\"ready\","
             + "\"capacity\":{\"cpu\":8000,\"mem-mb\":32000,\"gpu\":0},\"labels\":[\"a\",\"r1\"],"
-            + "\"born\":"
+            + "\"server-time-ms\":"
+            + WorkerStandin.clockMs()
+            + ",\"born\":"
             + worker.born()
             + "}");
   }
@@ -180,9 +203,14 @@
     return LOOPBACK + ":" + servers.get(0).activeLocalPort();
   }
 
-  /** Returns what ran. */
+  /** Makes a worker crash and begin a new life at once. */
+  public void crash(int worker) {
+    workers.get(worker).crash();
+  }
+
+  /** Returns what ran, if no other observer was given. */
   public RunLedger ledger() {
-    return ledger;
+    return ledger.orElseThrow();
   }
 
   @Override
--- a/src/main/java/org/plantainloom/platform/standin/RunLedger.java
+++ b/src/main/java/org/plantainloom/platform/standin/RunLedger.java
@@ -6,14 +6,15 @@
 import java.util.Set;
 
 /** Counts, over all workers of a stand-in, what ran and whether a promise was broken. */
-public final class RunLedger {
+public final class RunLedger implements RunObserver {
   private final Map<String, String> running = new HashMap<>();
   private final Set<String> done = new HashSet<>();
   private int starts;
   private int overlaps;
   private int repeats;
 
-  synchronized void started(String task, String worker) {
+  @Override
+  public synchronized void started(String task, String worker, String payload) {
     starts++;
     if (running.put(task, worker) != null) {
       overlaps++;
@@ -23,13 +24,19 @@
     }
   }
 
-  synchronized void ended(String task, String worker, String how) {
+  @Override
+  public synchronized void ended(String task, String worker, String how) {
     running.remove(task, worker);
     if (how.equals("done")) {
       done.add(task);
     }
   }
 
+  @Override
+  public synchronized void endVoided(String task) {
+    done.remove(task);
+  }
+
   /** Returns the number of starts. */
   public synchronized int starts() {
     return starts;
--- a/src/main/java/org/plantainloom/platform/standin/WorkerStandin.java
+++ b/src/main/java/org/plantainloom/platform/standin/WorkerStandin.java
@@ -21,16 +21,20 @@
 final class WorkerStandin {
   private static final ObjectMapper JSON = new ObjectMapper();
   private static final int TAIL_MS = 5;
+  private static final long EXPIRY_PACE_MS = 50;
+
+  /** Longest lease that is granted. */
+  private static final long MAX_LEASE_MS = 6_000;
 
   private final String id;
   private final long taskMs;
   private final ScheduledExecutorService timers;
-  private final RunLedger ledger;
+  private final RunObserver observer;
   private final Map<String, Running> running = new HashMap<>();
   private final Map<String, Long> superseded = new HashMap<>();
   private final List<ArrayNode> ended = new ArrayList<>();
   private final List<CompletableFuture<HttpResponse>> looks = new ArrayList<>();
-  private final long born = System.currentTimeMillis();
+  private long born = System.currentTimeMillis();
   private long fence;
   private long leaseUntil;
   private long lastEnd;
@@ -41,23 +45,46 @@
   /**
    * Creates a worker.
    *
-   * @param taskMs how long each task runs; a task whose payload is {@code serve} does not end
+   * @param taskMs how long each task runs; one whose payload begins with {@code serve} never ends
    */
-  WorkerStandin(String id, long taskMs, ScheduledExecutorService timers, RunLedger ledger) {
+  WorkerStandin(String id, long taskMs, ScheduledExecutorService timers, RunObserver observer) {
     this.id = id;
     this.taskMs = taskMs;
     this.timers = timers;
-    this.ledger = ledger;
+    this.observer = observer;
+    timers.scheduleAtFixedRate(this::expire, EXPIRY_PACE_MS, EXPIRY_PACE_MS, TimeUnit.MILLISECONDS);
   }
 
   String id() {
     return id;
   }
 
-  long born() {
+  synchronized long born() {
     return born;
   }
 
+  /** The worker's clock, in milliseconds. */
+  static long clockMs() {
+    return now();
+  }
+
+  /** Ends the worker's life and begins another that knows nothing. */
+  synchronized void crash() {
+    running.keySet().forEach(task -> observer.ended(task, id, "gone"));
+    voidEnds();
+    running.clear();
+    superseded.clear();
+    ended.clear();
+    fence = 0;
+    leaseUntil = 0;
+    lastEnd = 0;
+    born = Math.max(born + 1, System.currentTimeMillis());
+  }
+
+  private void voidEnds() {
+    ended.forEach(row -> observer.endVoided(row.path(1).asText()));
+  }
+
   synchronized void failAll(boolean fail) {
     failing = fail;
   }
@@ -96,10 +123,11 @@
     if (body.path("deadline-ms").asLong() < now()) {
       return refuse("late");
     }
-    leaseUntil = Math.max(leaseUntil, body.path("deadline-ms").asLong());
+    extendLease(body);
     running.put(task, new Running(run, now(), 100));
-    ledger.started(task, id);
-    if (!body.path("spec").asText().equals("serve")) {
+    String payload = body.path("spec").asText();
+    observer.started(task, id, payload);
+    if (!payload.startsWith("serve")) {
       timers.schedule(() -> finish(task, run), taskMs, TimeUnit.MILLISECONDS);
     }
     return ok();
@@ -115,7 +143,7 @@
   private void end(String task, String how) {
     Running known = running.remove(task);
     superseded.put(task, known.run());
-    ledger.ended(task, id, how);
+    observer.ended(task, id, how);
     ended.add(JSON.createArrayNode().add(++lastEnd).add(task).add(known.run()).add(how).add(""));
     looks.forEach(look -> look.complete(report()));
     looks.clear();
@@ -132,8 +160,13 @@
     return ok();
   }
 
+  private void extendLease(JsonNode body) {
+    long asked = Math.min(body.path("deadline-ms").asLong(), now() + MAX_LEASE_MS);
+    leaseUntil = Math.max(leaseUntil, asked);
+  }
+
   private HttpResponse look(JsonNode body) {
-    leaseUntil = Math.max(leaseUntil, body.path("deadline-ms").asLong());
+    extendLease(body);
     ended.removeIf(row -> row.path(0).asLong() <= body.path("last-seen").asLong());
     long wait = body.path("wait-ms").asLong();
     if (!ended.isEmpty() || wait == 0) {
@@ -163,8 +196,10 @@
   }
 
   /** Ends everything when the lease is over. */
-  private void expire() {
+  private synchronized void expire() {
     if (leaseUntil != 0 && leaseUntil < now()) {
+      leaseUntil = 0;
+      voidEnds();
       new ArrayList<>(running.keySet()).forEach(task -> end(task, "lapsed"));
     }
   }
