--- a/src/main/java/org/plantainloom/coordination/dispatch/Dispatcher.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/Dispatcher.java
@@ -2,20 +2,16 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
-import java.util.function.Consumer;
 import org.plantainloom.state.job.ClusterConfig;
 import org.plantainloom.state.job.JobProgress;
 import org.plantainloom.state.job.JobSpec;
 import org.plantainloom.state.job.JobStatus;
 import org.plantainloom.state.job.LookReply;
 import org.plantainloom.state.job.OrderReply;
-import org.plantainloom.state.job.TaskKey;
 import org.plantainloom.state.job.WorkerEntry;
 
 /**
@@ -36,12 +32,6 @@
 
   private static final long RETRY_STOP_MS = 300;
 
-  /**
-   * A registration that goes so soon after the worker's last answer was taken back by the worker; a
-   * lapse takes three heartbeats of silence, 4.5 s on the known platforms.
-   */
-  private static final long LEFT_WITHIN_MS = 2_500;
-
   /** Pause before a refused start is tried again; a look in between corrects what was believed. */
   private static final long REFUSED_PAUSE_MS = 500;
 
@@ -58,14 +48,13 @@
   private final Placement placement = new Placement(interference);
   private final Starter starter;
   private final StallWatch stalls;
-  private final Map<String, WorkerState> workers = new HashMap<>();
+  private final Fleet fleet;
   private final List<Order> extraOrders = new ArrayList<>();
   private final long ownedSinceMs;
   private ClusterConfig config = ClusterConfig.UNKNOWN;
   private boolean fenced;
   private boolean caughtUp;
   private boolean startsHeld;
-  private boolean fleetShrunk;
 
   /**
    * Creates the decisions of a new owner.
@@ -77,6 +66,7 @@
     this.policy = policy;
     this.log = log;
     this.ownedSinceMs = nowMs;
+    this.fleet = new Fleet(jobs, log);
     this.runs =
         new RunTable(
             jobs, log, (term - 1) * RUNS_PER_TERM + 1, name -> config.queue(name).orElse(null));
@@ -130,91 +120,32 @@
 
   /** Takes over a worker that a former owner used; it may not be registered any more. */
   public void inherited(FleetMember member, long nowMs) {
-    WorkerEntry entry = member.entry();
-    registered(entry, nowMs);
-    WorkerState worker = workers.get(entry.id());
-    worker.persisted = true;
-    worker.possibleTasks = member.silentTasks();
-    unregistered(entry.id(), nowMs);
+    fleet.inherited(member, nowMs);
   }
 
   /** Takes note that all jobs of former owners were restored. */
   public void allRestored() {
-    for (WorkerState worker : workers.values()) {
-      worker.possibleTasks.ifPresent(keys -> forEachTask(keys, task -> task.possiblyOn = worker));
-    }
-  }
-
-  private void forEachTask(Collection<TaskKey> keys, Consumer<TaskState> action) {
-    for (TaskKey key : keys) {
-      JobState job = jobs.job(key.jobId());
-      TaskState task = job == null ? null : job.task(key);
-      if (task != null) {
-        action.accept(task);
-      }
-    }
-  }
-
-  private void resolvePossibleTasks(WorkerState worker) {
-    worker.possibleTasks.ifPresent(
-        keys ->
-            forEachTask(
-                keys,
-                task -> {
-                  if (task.possiblyOn == worker) {
-                    task.possiblyOn = null;
-                  }
-                }));
-    worker.possibleTasks = Optional.empty();
+    fleet.holdPossibleTasks();
   }
 
   /** Takes note of a worker's registration. */
   public void registered(WorkerEntry entry, long nowMs) {
-    WorkerState worker = workers.get(entry.id());
-    if (worker == null) {
-      worker = new WorkerState(entry, nowMs);
-      workers.put(entry.id(), worker);
-      log.decided(
-          "worker-known", entry.id(), "zone=" + entry.zone() + " address=" + entry.address());
-    }
-    if (entry.draining() != worker.entry.draining()) {
-      log.decided("worker-draining", entry.id(), "draining=" + entry.draining());
-      // A later owner need not wait for a worker that was draining and is not registered any more.
-      worker.persisted = false;
-    }
-    worker.entry = entry;
-    worker.registered = true;
-    worker.left = false;
+    fleet.registered(entry, nowMs);
   }
 
   /** Takes note that a worker is no longer registered; it may still run on. */
   public void unregistered(String workerId, long nowMs) {
-    WorkerState worker = workers.get(workerId);
-    if (worker != null && worker.registered) {
-      worker.registered = false;
-      worker.left = worker.entry.draining() && nowMs - worker.lastAnswerMs < LEFT_WITHIN_MS;
-      log.decided("worker-unregistered", workerId, "runs=" + worker.runs.size());
-    }
+    fleet.unregistered(workerId, nowMs);
   }
 
   /** Returns the workers that a later owner has to ask, or empty if the store lists them. */
   public Optional<List<FleetMember>> unpersistedFleet() {
-    boolean all = workers.values().stream().allMatch(w -> w.persisted);
-    return all && !fleetShrunk
-        ? Optional.empty()
-        : Optional.of(workers.values().stream().map(WorkerState::member).toList());
+    return fleet.unpersisted();
   }
 
   /** Takes note that the store lists these workers. */
-  public void fleetPersisted(List<FleetMember> fleet) {
-    fleetShrunk = false;
-    for (FleetMember member : fleet) {
-      WorkerState worker = workers.get(member.entry().id());
-      // A worker that fell silent or came back meanwhile has to be listed anew.
-      if (worker != null && worker.member().isLike(member)) {
-        worker.persisted = true;
-      }
-    }
+  public void fleetPersisted(List<FleetMember> members) {
+    fleet.persisted(members);
   }
 
   /** Stops or resumes starting tasks. */
@@ -238,7 +169,7 @@
    */
   public List<Order> renewEarly(long nowMs) {
     List<Order> orders = new ArrayList<>();
-    for (WorkerState worker : workers.values()) {
+    for (WorkerState worker : fleet.workers()) {
       // The clock of a worker that was only read from the fleet may be minutes old.
       if (worker.registered) {
         orderLook(worker, orders, nowMs);
@@ -255,11 +186,11 @@
       return List.of();
     }
     expireLeases(nowMs);
-    stalls.check(workers.values(), nowMs);
+    stalls.check(fleet.workers(), nowMs);
     if (!startsHeld) {
-      orders.addAll(starter.start(jobs.open(), workers.values(), caughtUp, nowMs, wallMs));
+      orders.addAll(starter.start(jobs.open(), fleet.workers(), caughtUp, nowMs, wallMs));
     }
-    for (WorkerState worker : workers.values()) {
+    for (WorkerState worker : fleet.workers()) {
       orderStops(worker, orders, nowMs);
       orderLook(worker, orders, nowMs);
     }
@@ -267,24 +198,22 @@
   }
 
   private void expireLeases(long nowMs) {
-    for (WorkerState worker : new ArrayList<>(workers.values())) {
+    for (WorkerState worker : new ArrayList<>(fleet.workers())) {
       boolean over = worker.lastAnswerMs + policy.catchUpMs() < nowMs && worker.leaseOverMs < nowMs;
       if (worker.unreachable && (over || worker.left)) {
         runs.lostAll(worker, worker.left ? "left" : "lease over", nowMs);
-        resolvePossibleTasks(worker);
+        fleet.releasePossibleTasks(worker);
         if (!worker.registered) {
-          workers.remove(worker.id());
-          fleetShrunk = true;
-          log.decided("worker-forgotten", worker.id(), "");
+          fleet.forget(worker);
         }
       }
     }
     if (!caughtUp) {
       boolean all =
-          workers.values().stream().allMatch(w -> w.confirmed || w.possibleTasks.isPresent());
+          fleet.workers().stream().allMatch(w -> w.confirmed || w.possibleTasks.isPresent());
       caughtUp = all || nowMs > ownedSinceMs + policy.catchUpMs();
       if (caughtUp) {
-        log.decided("caught-up", "fleet", "workers=" + workers.size() + " all=" + all);
+        log.decided("caught-up", "fleet", "workers=" + fleet.workers().size() + " all=" + all);
       }
     }
   }
@@ -332,14 +261,14 @@
 
   /** Takes note of a worker's answer to a look that was sent at a time. */
   public void lookAnswered(WorkerEntry entry, LookReply reply, long sentMs, long nowMs) {
-    WorkerState worker = workers.get(entry.id());
+    WorkerState worker = fleet.worker(entry.id());
     if (worker == null) {
       return;
     }
     worker.lookInFlight = false;
     if (reply instanceof LookReply.Seen seen) {
       extraOrders.addAll(reports.apply(worker, seen.look(), sentMs, nowMs));
-      resolvePossibleTasks(worker);
+      fleet.releasePossibleTasks(worker);
       extraOrders.addAll(tailGuard.adjust(worker, nowMs));
       worker.nextLookMs = nowMs + UNKEPT_LOOK_MS;
     } else if (reply instanceof LookReply.Fenced) {
@@ -386,7 +315,7 @@
 
   /** Takes note of a worker's answer to a stop. */
   public void stopAnswered(Order.Stop stop, OrderReply reply, long nowMs) {
-    WorkerState worker = workers.get(stop.worker().id());
+    WorkerState worker = fleet.worker(stop.worker().id());
     Run run = worker == null ? null : worker.runs.get(stop.task());
     if (reply == OrderReply.FENCED) {
       beFenced(stop.worker().id());
@@ -402,7 +331,7 @@
 
   /** Takes note of a worker's answer to an order to pace a run. */
   public void paceAnswered(Order.Pace pace, OrderReply reply, long nowMs) {
-    WorkerState worker = workers.get(pace.worker().id());
+    WorkerState worker = fleet.worker(pace.worker().id());
     Run run = worker == null ? null : worker.runs.get(pace.task());
     if (run == null || run.number != pace.number()) {
       return;
@@ -466,6 +395,6 @@
   }
 
   Collection<WorkerState> workers() {
-    return workers.values();
+    return fleet.workers();
   }
 }
