Make the outcomes of the gateway test independent of the machine's speed

Cause of the failure seen once ([REFUSE, false], "unknown" instead of "not-run" at a load of 20): the attempt was refused later than the deadline of 400 ms, so the gateway could not know that the request had not run. "unknown" is allowed there; "not-run" where something may have run is not. A worker that refuses 2 s after the request reproduces it without load.

Change: requests whose outcome the upstream decides get a deadline of 60 s; only the silent upstream keeps 400 ms. Two tests added: a refusal after the deadline is unknown, and one refusal of two replicas is never reported as not run.

--- a/src/test/java/org/plantainloom/support/ScriptedUpstream.java
+++ b/src/test/java/org/plantainloom/support/ScriptedUpstream.java
@@ -17,6 +17,9 @@
  * and counts received and executed requests.
  */
 public final class ScriptedUpstream implements AutoCloseable {
+  /** Delay of {@link Script#REFUSE_LATE}; the deadlines of its requests are shorter. */
+  private static final long LATE_MS = 2_000;
+
   private final ServerSocket socket;
   private final Script script;
   private final AtomicInteger executions = new AtomicInteger();
@@ -32,6 +35,12 @@
         "503 Unavailable",
         "x-request-id: %s\r\nx-outcome: not-run\r\ncontent-length: 0",
         ""),
+    /** Rejects the request without executing it, later than a short deadline. */
+    REFUSE_LATE(
+        false,
+        "503 Unavailable",
+        "x-request-id: %s\r\nx-outcome: not-run\r\ncontent-length: 0",
+        ""),
     /** Executes the request and closes the connection without a response. */
     RUN_AND_CLOSE(true, "", "", ""),
     /** Executes the request and closes the connection after a part of the response body. */
@@ -111,6 +120,9 @@
         if (script.status != null && script.status.isEmpty()) {
           return;
         }
+        if (script == Script.REFUSE_LATE) {
+          Thread.sleep(LATE_MS);
+        }
         if (script.status != null) {
           respond(connection.getOutputStream(), requestId);
         }
@@ -121,6 +133,8 @@
       }
     } catch (IOException e) {
       // The gateway has closed the connection.
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
     }
   }
 
--- a/src/test/java/org/plantainloom/transport/GatewayOutcomeTest.java
+++ b/src/test/java/org/plantainloom/transport/GatewayOutcomeTest.java
@@ -5,6 +5,7 @@
 import com.linecorp.armeria.common.AggregatedHttpResponse;
 import com.linecorp.armeria.common.HttpMethod;
 import com.linecorp.armeria.common.HttpStatus;
+import java.util.List;
 import org.plantainloom.protocol.Headers;
 import org.plantainloom.support.GatewayFixture;
 import org.plantainloom.support.ScriptedUpstream;
@@ -15,8 +16,12 @@
 
 /** The outcome that callers receive, and how often a request runs, for each upstream fault. */
 public class GatewayOutcomeTest {
+  /** Deadline of requests that no upstream answers in time. */
   private static final String SHORT_DEADLINE_MS = "400";
 
+  /** Longer than any pause of a busy machine, for requests whose outcome the upstream decides. */
+  private static final String LONG_DEADLINE_MS = "60000";
+
   /** Rows of the table in docs/operators/gateway.md: fault, idempotent, outcome, most runs. */
   @DataProvider
   public static Object[][] faults() {
@@ -44,7 +49,9 @@
         GatewayFixture gateway = GatewayFixture.start(first.address(), second.address())) {
       // when
       AggregatedHttpResponse answer =
-          gateway.send(idempotent ? HttpMethod.GET : HttpMethod.POST, SHORT_DEADLINE_MS);
+          gateway.send(
+              idempotent ? HttpMethod.GET : HttpMethod.POST,
+              script == Script.NO_RESPONSE ? SHORT_DEADLINE_MS : LONG_DEADLINE_MS);
       // then
       assertThat(answer.headers().get(Headers.OUTCOME)).isEqualTo(outcome);
       assertThat(first.executions() + second.executions()).isLessThanOrEqualTo(mostRuns);
@@ -52,6 +59,36 @@
     }
   }
 
+  /** Requests of which one attempt was refused or may be refused, and another may have run. */
+  public static class UncertainRefusals {
+    @Test
+    public void should_report_unknown_when_the_refusal_comes_after_the_deadline() throws Exception {
+      // given: regression of a run at a load of 20, in which the refusal took longer than 400 ms
+      try (ScriptedUpstream late = ScriptedUpstream.start(Script.REFUSE_LATE);
+          GatewayFixture gateway = GatewayFixture.start(late.address())) {
+        // when
+        AggregatedHttpResponse answer = gateway.send(HttpMethod.POST, SHORT_DEADLINE_MS);
+        // then
+        assertThat(answer.headers().get(Headers.OUTCOME)).isEqualTo("unknown");
+      }
+    }
+
+    @Test
+    public void should_not_report_not_run_when_only_one_of_two_replicas_refused() throws Exception {
+      // given: whichever replica is tried first, the other or no attempt decides the outcome
+      try (ScriptedUpstream refusing = ScriptedUpstream.start(Script.REFUSE);
+          ScriptedUpstream silent = ScriptedUpstream.start(Script.RUN_AND_CLOSE);
+          GatewayFixture gateway = GatewayFixture.start(refusing.address(), silent.address())) {
+        for (HttpMethod method : List.of(HttpMethod.POST, HttpMethod.GET)) {
+          // when
+          AggregatedHttpResponse answer = gateway.send(method, LONG_DEADLINE_MS);
+          // then
+          assertThat(answer.headers().get(Headers.OUTCOME)).as(method.name()).isEqualTo("unknown");
+        }
+      }
+    }
+  }
+
   /** Retries at another replica, and requests that the gateway refuses itself. */
   public static class RetriesAndRefusals {
     @Test
