Keep the event loop running after an error

Cause: the loop caught exceptions only. An error of one task, such as a stack overflow, ended the thread of the ring buffer: the process stayed ready and answered callers, but decided nothing and renewed no lease any more.

Change: errors are logged like exceptions and the loop goes on.

--- a/src/main/java/org/plantainloom/transport/duty/EventLoop.java
+++ b/src/main/java/org/plantainloom/transport/duty/EventLoop.java
@@ -107,11 +107,15 @@
         });
   }
 
+  /**
+   * Runs a task. A failed task must not end the thread: the process would go on without its state
+   * machine, and its leases would be renewed by nobody.
+   */
   private void run(Runnable task) {
     try {
       task.run();
-    } catch (RuntimeException e) {
-      LOG.errorf(e, "event loop %s: a task failed", name);
+    } catch (RuntimeException | Error e) {
+      LOG.errorf(e, "event loop %s: a task failed, the loop goes on", name);
     }
   }
 
--- /dev/null
+++ b/src/test/java/org/plantainloom/transport/duty/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the event loop. */
+package org.plantainloom.transport.duty;
