Reject jobs and registrations whose amounts cannot be true

Cause: amounts above 2^31 were cut off to an int, so a worker of 9e18 MB had -1 MB, and a negative need freed room on a worker (it would have been committed beyond its capacity). A job repeated 2^31 times was accepted and then created in memory by each owner in turn, which ends the process.

--- a/src/main/java/org/plantainloom/platform/JobJson.java
+++ b/src/main/java/org/plantainloom/platform/JobJson.java
@@ -1,6 +1,7 @@
 package org.plantainloom.platform;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -11,8 +12,14 @@
 
 /** JSON of the jobs that callers submit and of the replies to their queries. */
 final class JobJson {
-  /** A phase with more tasks is rejected as invalid; the largest known job has 36. */
-  private static final int MAX_PHASE_TASKS = 10_000;
+  /**
+   * Tasks of all occurrences of a job above which it is rejected. The owner keeps each task in
+   * memory, so one absurd job would otherwise take down each owner that reads it.
+   */
+  private static final long MAX_JOB_TASKS = 20_000;
+
+  /** Longest estimate or period; longer ones would overflow sums of times. */
+  private static final long MAX_DURATION_MS = Duration.ofDays(365).toMillis();
 
   private JobJson() {}
 
@@ -34,7 +41,7 @@
     if (phases.isEmpty() || !body.path("spec").isTextual()) {
       return Optional.empty();
     }
-    return Optional.of(
+    JobSpec spec =
         new JobSpec(
             id,
             queue,
@@ -43,7 +50,20 @@
             nowMs,
             body.path("start-at-ms").asLong(),
             body.path("period-ms").asLong(),
-            body.path("repeat-count").asInt()));
+            body.path("repeat-count").asInt());
+    return isWithinLimits(spec) ? Optional.of(spec) : Optional.empty();
+  }
+
+  private static boolean isWithinLimits(JobSpec spec) {
+    long tasks = spec.phases().stream().mapToLong(PhaseSpec::count).sum() * spec.occurrences();
+    return tasks <= MAX_JOB_TASKS
+        && spec.startAtMs() >= 0
+        && spec.startAtMs() <= spec.acceptedMs() + MAX_DURATION_MS
+        && isDuration(spec.periodMs());
+  }
+
+  private static boolean isDuration(long ms) {
+    return ms >= 0 && ms <= MAX_DURATION_MS;
   }
 
   /** Parses a phase; empty if it is invalid or depends on itself or on a later phase. */
@@ -55,16 +75,21 @@
       }
       after.add(predecessor.asInt());
     }
-    int count = node.path("count").asInt();
-    if (!node.isObject() || count < 1 || count > MAX_PHASE_TASKS) {
+    long count = node.path("count").asLong();
+    long estimateMs = node.path("estimate-ms").asLong();
+    Optional<ResourceVector> need = PlatformJson.resources(node);
+    if (!node.isObject()
+        || count < 1
+        || count > MAX_JOB_TASKS
+        || !isDuration(estimateMs)
+        || need.isEmpty()) {
       return Optional.empty();
     }
     return Optional.of(
         new PhaseSpec(
-            count,
-            new ResourceVector(
-                node.path("cpu").asInt(), node.path("mem-mb").asInt(), node.path("gpu").asInt()),
-            node.path("estimate-ms").asLong(),
+            (int) count,
+            need.get(),
+            estimateMs,
             after,
             node.path("checkpointing").asBoolean(),
             node.path("gang").asBoolean(),
--- a/src/main/java/org/plantainloom/platform/PlatformCodec.java
+++ b/src/main/java/org/plantainloom/platform/PlatformCodec.java
@@ -78,7 +78,10 @@
   public Optional<WorkerRegistration> worker(String key, String text) {
     return PlatformJson.parse(text)
         .filter(PlatformCodec::isRegistration)
-        .map(node -> worker(key, node));
+        .flatMap(
+            node ->
+                PlatformJson.resources(node.path("capacity"))
+                    .map(capacity -> worker(key, node, capacity)));
   }
 
   /** Other writers may put entries below the prefix that are not registrations of workers. */
@@ -96,18 +99,14 @@
         && node.path("labels").isArray();
   }
 
-  private WorkerRegistration worker(String key, JsonNode node) {
-    JsonNode capacity = node.path("capacity");
+  private WorkerRegistration worker(String key, JsonNode node, ResourceVector capacity) {
     return new WorkerRegistration(
         workerId(key),
         node.path("service").asText(),
         node.path("address").asText(),
         node.path("zone").asText(),
         node.path("state").asText().equals("draining"),
-        new ResourceVector(
-            capacity.path("cpu").asInt(),
-            capacity.path("mem-mb").asInt(),
-            capacity.path("gpu").asInt()),
+        capacity,
         PlatformJson.stringList(node.path("labels")),
         node.path("born").asLong(),
         node.path("server-time-ms").asLong());
--- a/src/main/java/org/plantainloom/platform/PlatformJson.java
+++ b/src/main/java/org/plantainloom/platform/PlatformJson.java
@@ -8,11 +8,15 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import org.plantainloom.state.ResourceVector;
 
 /** Reads and creates the JSON of the platform's messages. */
 final class PlatformJson {
   private static final ObjectMapper MAPPER = new ObjectMapper();
 
+  /** Bounds amounts so that the sums over the runs of a worker do not overflow. */
+  private static final long MAX_AMOUNT = 100_000_000;
+
   private PlatformJson() {}
 
   static ObjectNode object() {
@@ -33,6 +37,23 @@
     }
   }
 
+  /**
+   * Reads an amount of resources; a missing component is 0. Empty if one is negative or does not
+   * fit into an {@code int}: Jackson would cut it off, to a negative amount for instance.
+   */
+  static Optional<ResourceVector> resources(JsonNode node) {
+    long cpuMillis = node.path("cpu").asLong();
+    long memoryMb = node.path("mem-mb").asLong();
+    long accelerators = node.path("gpu").asLong();
+    return isAmount(cpuMillis) && isAmount(memoryMb) && isAmount(accelerators)
+        ? Optional.of(new ResourceVector((int) cpuMillis, (int) memoryMb, (int) accelerators))
+        : Optional.empty();
+  }
+
+  private static boolean isAmount(long value) {
+    return value >= 0 && value <= MAX_AMOUNT;
+  }
+
   static List<String> stringList(JsonNode array) {
     List<String> texts = new ArrayList<>();
     array.forEach(node -> texts.add(node.asText()));
