Keep a watch going after an entry that its listener cannot handle

Cause: the next call of a watch was made only after the listener had returned. An entry on which it failed ended the watch for good: the node kept an old configuration, old zones or old workers until it was restarted, and its successors would have met the same entry.

Change: a failure is logged with prefix and key, and the watch goes on.

Ran: PrefixWatchTest, which waited in vain for the next change before.

--- a/src/main/java/org/plantainloom/transport/dispatch/PrefixWatch.java
+++ b/src/main/java/org/plantainloom/transport/dispatch/PrefixWatch.java
@@ -103,7 +103,7 @@
           }
           if (result instanceof ReadReply.Found found) {
             onReply();
-            listener.onSnapshot(found.items());
+            pass(prefix, () -> listener.onSnapshot(found.items()));
             watch(found.revision());
           } else if (result instanceof ReadReply.Unavailable unavailable) {
             retry(unavailable.reason(), this::list);
@@ -120,7 +120,7 @@
           }
           if (result instanceof WatchReply.Changes changes) {
             onReply();
-            changes.events().forEach(listener::onChange);
+            changes.events().forEach(event -> pass(event.key(), () -> listener.onChange(event)));
             if (batchDelayMs > 0) {
               delayedExecutor.schedule(
                   batchDelayMs, () -> runUnlessClosed(() -> watch(changes.nextRevision())));
@@ -136,6 +136,15 @@
         });
   }
 
+  /** Calls the listener; if it fails, the watch goes on, as later changes concern other keys. */
+  private void pass(String key, Runnable call) {
+    try {
+      call.run();
+    } catch (RuntimeException | Error e) {
+      LOG.errorf(e, "event=entry-not-applied prefix=%s key=%s", prefix, key);
+    }
+  }
+
   private void onReply() {
     if (disconnected) {
       LOG.infof("event=watch-regained prefix=%s", prefix);
