Wait for the lease of a draining worker whose registration expired while it lives

Cause: a draining worker whose registration disappeared within 2.5 s of its last answer counted as gone for the rest of its life. Registrations also expire while the store is away.

Change: an answer after the registration is gone shows that the worker has not left; from then on its lease is waited for.

Ran: DispatcherTest; should_wait_for_the_lease_when_a_draining_worker_lives_on_without_registration counted two starts before, one after.

--- a/src/main/java/org/plantainloom/coordination/dispatch/Dispatcher.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/Dispatcher.java
@@ -294,6 +294,8 @@
     }
     worker.pollInFlight = false;
     if (reply instanceof PollReply.Answered answered) {
+      // A draining worker that answers after its registration is gone has not left yet.
+      worker.deregistered = false;
       pendingCommands.addAll(reconciler.reconcile(worker, answered.snapshot(), sentMs, nowMs));
       workers.releasePossibleTasks(worker);
       pendingCommands.addAll(latencyController.adjustCpuLimits(worker, nowMs));
--- a/src/test/java/org/plantainloom/coordination/dispatch/DispatcherTest.java
+++ b/src/test/java/org/plantainloom/coordination/dispatch/DispatcherTest.java
@@ -190,6 +190,24 @@
       assertThat(simulation.startCount(FIRST)).isEqualTo(2);
     }
 
+    @Test
+    public void should_wait_for_the_lease_when_a_draining_worker_lives_on_without_registration() {
+      // given: the registration expired during an outage of the store, and the worker answers
+      DispatcherSimulation simulation = new DispatcherSimulation(2, 8).run(100);
+      simulation.taskDurationMs = 60_000;
+      simulation.submit(job(ID, "urgent", tasks(1, 1_000))).run(100);
+      SimulatedWorker holder =
+          simulation.workers.get(simulation.workers.get(0).running.isEmpty() ? 1 : 0);
+      simulation.dispatcher.workerRegistered(holder.drainingRegistration(), simulation.nowMs);
+      simulation.dispatcher.workerUnregistered(holder.registration.id(), simulation.nowMs);
+      simulation.run(2_500);
+      // when: it does not answer for a while, but its task runs on
+      holder.unreachable = true;
+      simulation.run(2_500);
+      // then
+      assertThat(simulation.startCount(FIRST)).isEqualTo(1);
+    }
+
     @Test
     public void should_stop_an_unanswered_start_before_starting_elsewhere() {
       // given
