Keep room for short tasks on workers that lasting tasks leave free

They were first in their priority and took each piece of room for good, so short jobs of the same priority waited until they were worthless, the wide ones first.

Change: ShortTaskReserve follows what short jobs have asked for lately and keeps twice that free of lasting tasks, on whole workers. Lasting tasks go there only as long as all of them fit. Jobs that can be on time now go before lasting tasks of the same priority.

--- a/src/main/java/org/plantainloom/coordination/dispatch/Dispatcher.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/Dispatcher.java
@@ -50,7 +50,8 @@
   private final WorkerReconciler reconciler;
   private final InterferenceModel interference = new InterferenceModel();
   private final TailLatencyController latencyController = new TailLatencyController(interference);
-  private final Placement placement = new Placement(interference);
+  private final ShortTaskReserve reserve = new ShortTaskReserve();
+  private final Placement placement = new Placement(interference, reserve);
   private final TaskStarter starter;
   private final StallDetector stallDetector;
   private final WorkerTable workers;
@@ -86,12 +87,13 @@
             name -> config.queue(name).orElse(null));
     this.reconciler = new WorkerReconciler(jobs, runs, log, policy);
     this.stallDetector = new StallDetector(log);
-    this.starter = new TaskStarter(policy, log, runs, placement);
+    this.starter = new TaskStarter(policy, log, runs, placement, reserve);
   }
 
   /** Restores a job that was accepted before this ownership began. */
   public void restoreJob(JobSpec spec, JobProgress progress, long revision, long nowMs) {
     JobState job = jobs.add(spec, nowMs);
+    reserve.jobAccepted(spec);
     job.restore(progress, revision);
     if (job.isFinished()) {
       jobs.restoredAsFinished(job, nowMs);
@@ -102,6 +104,7 @@
   public void jobSubmitted(JobSpec spec, long nowMs) {
     if (jobs.job(spec.id()) == null) {
       jobs.add(spec, nowMs);
+      reserve.jobAccepted(spec);
       log.logDecision(
           "job-known", spec.id(), "queue=" + spec.queue() + " phases=" + spec.phases().size());
     }
--- a/src/main/java/org/plantainloom/coordination/dispatch/PhaseRanking.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/PhaseRanking.java
@@ -8,11 +8,12 @@
 /**
  * The order in which ready phases get resources when not all of them fit.
  *
- * <p>Urgent queues go first. Within a priority, lasting tasks go first, because their value grows
- * with every second that they serve. Then come jobs that can still meet their objective, the one
- * with the least slack first, then jobs that are late but still count, then the rest. Without the
- * preference for jobs that can be on time, a backlog would spend all resources on jobs that are
- * already late, and every new job would become late behind them.
+ * <p>Urgent queues go first. Within a priority, jobs that can still meet their objective go first,
+ * the one with the least slack before the others: they return their room within seconds. Then come
+ * lasting tasks, whose value grows with every second that they serve, then jobs that are late but
+ * still count, then the rest. Without the preference for jobs that can be on time, a backlog would
+ * spend all resources on jobs that are already late, and every new job would become late behind
+ * them.
  */
 final class PhaseRanking {
   /** A job that takes longer than this many times its objective counts as missed, not as late. */
@@ -28,21 +29,28 @@
     config = newConfig;
   }
 
+  /** Kinds of phase within a priority, in the order in which they get resources. */
+  enum Group {
+    ON_TIME,
+    LASTING,
+    LATE,
+    MISSED
+  }
+
   /**
    * Position of a phase among the waiting ones; the smallest goes first.
    *
    * @param priority the queue's priority
-   * @param lateness -1 for lasting tasks, otherwise 0 if the job can be on time, 1 if it will be
-   *     late, 2 if it will miss its objective
+   * @param group order of the kinds of phase within a priority
    * @param latestStartMs latest start of the phase that keeps the objective; for lasting tasks the
    *     time at which they became due
    * @param acceptedMs when the job was accepted
    */
-  record Rank(int priority, int lateness, long latestStartMs, long acceptedMs)
+  record Rank(int priority, Group group, long latestStartMs, long acceptedMs)
       implements Comparable<Rank> {
     private static final Comparator<Rank> ORDER =
         Comparator.comparingInt(Rank::priority)
-            .thenComparingInt(Rank::lateness)
+            .thenComparing(Rank::group)
             .thenComparingLong(Rank::latestStartMs)
             .thenComparingLong(Rank::acceptedMs);
 
@@ -58,21 +66,22 @@
     int priority = queue == null ? Integer.MAX_VALUE : queue.priority();
     long releasedMs = Math.max(job.spec.acceptedMs(), job.spec.dueMs(phase.occurrence));
     if (phase.spec.lasting()) {
-      return new Rank(priority, -1, releasedMs, job.spec.acceptedMs());
+      return new Rank(priority, Group.LASTING, releasedMs, job.spec.acceptedMs());
     }
     double stretchFactor = queue == null ? 1 : queue.stretchFactor();
     long fixedMs = queue == null ? 0 : queue.objectiveMs();
     long objectiveMs = (long) (stretchFactor * criticalPathMs(job, 0)) + fixedMs;
     long finishMs = wallMs + remainingPathMs(job, phase);
-    int lateness;
+    Group group;
     if (finishMs <= releasedMs + objectiveMs) {
-      lateness = 0;
+      group = Group.ON_TIME;
     } else {
-      lateness = finishMs <= releasedMs + MISSED_OBJECTIVE_FACTOR * objectiveMs ? 1 : 2;
+      boolean late = finishMs <= releasedMs + MISSED_OBJECTIVE_FACTOR * objectiveMs;
+      group = late ? Group.LATE : Group.MISSED;
     }
     return new Rank(
         priority,
-        lateness,
+        group,
         releasedMs + objectiveMs - remainingPathMs(job, phase),
         job.spec.acceptedMs());
   }
--- a/src/main/java/org/plantainloom/coordination/dispatch/Placement.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/Placement.java
@@ -50,13 +50,18 @@
   /** Penalty for data on another rack, which makes the task take longer. */
   private static final int REMOTE_DATA_PENALTY = 16_000;
 
+  /** Penalty for a lasting task on a worker that is kept for short ones; exceeds all others. */
+  private static final int KEPT_WORKER_PENALTY = 1_000_000;
+
   private static final long REJECTED = Long.MIN_VALUE;
 
   private final InterferenceModel interference;
+  private final ShortTaskReserve reserve;
   private Set<String> withdrawnZones = Set.of();
 
-  Placement(InterferenceModel interference) {
+  Placement(InterferenceModel interference, ShortTaskReserve reserve) {
     this.interference = interference;
+    this.reserve = reserve;
   }
 
   void withdrawZones(Set<String> zones) {
@@ -97,6 +102,9 @@
     if (!isUsable(worker, nowMs) || !fits(worker, spec)) {
       return false;
     }
+    if (spec.lasting() && reserve.isClosedToLasting(worker)) {
+      return false;
+    }
     if (!spec.requiredLabel().isEmpty()
         && !worker.registration.labels().contains(spec.requiredLabel())) {
       return false;
@@ -135,6 +143,7 @@
       score -= REMOTE_DATA_PENALTY;
     }
     if (spec.lasting()) {
+      score -= reserve.isKept(worker) ? KEPT_WORKER_PENALTY : 0;
       score -= (long) SAME_PHASE_PENALTY * phase.tasksOn(worker);
       score += servingNeighbourScore(worker, phase);
     } else if (spec.fillsIdleCpu()) {
--- /dev/null
+++ b/src/main/java/org/plantainloom/coordination/dispatch/ShortTaskReserve.java
@@ -0,0 +1,118 @@
+package org.plantainloom.coordination.dispatch;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.plantainloom.state.job.JobSpec;
+import org.plantainloom.state.job.PhaseSpec;
+
+/**
+ * Keeps room on some workers for short tasks, which lasting tasks would otherwise take for good.
+ *
+ * <p>Load pattern: lasting jobs ask for more than all workers have, while short jobs of the same
+ * priority arrive in a stream that needs a small part of it. A short task returns its room within
+ * seconds, a lasting one only when its job is cancelled. Without a reserve, lasting tasks take all
+ * room that becomes free, and short jobs, the wide ones first, wait until they are worthless.
+ *
+ * <p>The reserve follows the processor time that short jobs have asked for lately. It is kept on
+ * whole workers, as a rest of room on each worker would be too small for a large task.
+ */
+final class ShortTaskReserve {
+  /** Time over which the demand of short jobs is averaged. */
+  private static final double AVERAGING_MS = 10_000;
+
+  /** Shortest history from which a rate is computed, so that the first job is no burst. */
+  private static final double MIN_HISTORY_MS = 3_000;
+
+  /** Reserve in multiples of the average demand; jobs arrive irregularly and differ in width. */
+  private static final double PEAK_FACTOR = 2;
+
+  /** Largest share of the workers' processors that is reserved. */
+  private static final double MAX_SHARE = 0.25;
+
+  private double demandCpuMillisMs;
+  private long demandAsOfMs;
+  private long firstAcceptedMs = Long.MAX_VALUE;
+  private Set<WorkerState> keptWorkers = Set.of();
+  private boolean lastingTasksFit = true;
+
+  /** Takes account of an accepted job, also of one that a previous owner knew. */
+  void jobAccepted(JobSpec job) {
+    firstAcceptedMs = Math.min(firstAcceptedMs, job.acceptedMs());
+    double demand = 0;
+    for (PhaseSpec phase : job.phases()) {
+      if (isShort(phase)) {
+        demand += (double) phase.count() * phase.need().cpuMillis() * phase.estimateMs();
+      }
+    }
+    if (demand > 0) {
+      decayTo(Math.max(demandAsOfMs, job.acceptedMs()));
+      demandCpuMillisMs += demand * decay(demandAsOfMs - job.acceptedMs());
+    }
+  }
+
+  private static boolean isShort(PhaseSpec phase) {
+    return !phase.lasting() && !phase.fillsIdleCpu();
+  }
+
+  private void decayTo(long wallMs) {
+    demandCpuMillisMs *= decay(wallMs - demandAsOfMs);
+    demandAsOfMs = wallMs;
+  }
+
+  private static double decay(long elapsedMs) {
+    return Math.exp(-Math.max(0, elapsedMs) / AVERAGING_MS);
+  }
+
+  /** Returns the processor time to keep free of lasting tasks, in thousandths of a core. */
+  double reservedCpuMillis(long wallMs) {
+    if (demandCpuMillisMs == 0) {
+      return 0;
+    }
+    double historyMs = Math.max(MIN_HISTORY_MS, (double) (wallMs - firstAcceptedMs));
+    double observedMs = AVERAGING_MS * (1 - Math.exp(-historyMs / AVERAGING_MS));
+    return PEAK_FACTOR * demandCpuMillisMs * decay(wallMs - demandAsOfMs) / observedMs;
+  }
+
+  /**
+   * Chooses the workers that are kept free. Those with the fewest lasting tasks come first, so the
+   * choice is stable: no other worker gets fewer.
+   *
+   * @param usable workers that may get tasks
+   * @param lastingCpuMillis what all lasting tasks, running or waiting, need
+   */
+  void update(Collection<WorkerState> usable, double lastingCpuMillis, long wallMs) {
+    double capacity = usable.stream().mapToDouble(ShortTaskReserve::cpuMillis).sum();
+    double reserve = Math.min(reservedCpuMillis(wallMs), MAX_SHARE * capacity);
+    lastingTasksFit = lastingCpuMillis + reserve <= capacity;
+    List<WorkerState> candidates = new ArrayList<>(usable);
+    candidates.sort(
+        Comparator.comparingInt(WorkerState::lastingCpuMillis).thenComparing(WorkerState::id));
+    Set<WorkerState> kept = new HashSet<>();
+    for (WorkerState worker : candidates) {
+      if (reserve <= 0) {
+        break;
+      }
+      kept.add(worker);
+      reserve -= cpuMillis(worker) - worker.lastingCpuMillis();
+    }
+    keptWorkers = kept;
+  }
+
+  private static double cpuMillis(WorkerState worker) {
+    return worker.registration.capacity().cpuMillis();
+  }
+
+  /** Returns whether lasting tasks should go elsewhere as long as there is room. */
+  boolean isKept(WorkerState worker) {
+    return keptWorkers.contains(worker);
+  }
+
+  /** Returns whether no lasting task may start on a worker. */
+  boolean isClosedToLasting(WorkerState worker) {
+    return !lastingTasksFit && keptWorkers.contains(worker);
+  }
+}
--- a/src/main/java/org/plantainloom/coordination/dispatch/TaskStarter.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/TaskStarter.java
@@ -20,11 +20,18 @@
   private final DecisionLog log;
   private final RunLifecycle runs;
   private final Placement placement;
+  private final ShortTaskReserve reserve;
   private int unansweredStarts;
   private final PhaseRanking ranking = new PhaseRanking(ClusterConfig.UNKNOWN);
   private ClusterConfig config = ClusterConfig.UNKNOWN;
 
-  TaskStarter(DispatchPolicy policy, DecisionLog log, RunLifecycle runs, Placement placement) {
+  TaskStarter(
+      DispatchPolicy policy,
+      DecisionLog log,
+      RunLifecycle runs,
+      Placement placement,
+      ShortTaskReserve reserve) {
+    this.reserve = reserve;
     this.policy = policy;
     this.log = log;
     this.runs = runs;
@@ -49,18 +56,26 @@
       long wallMs) {
     List<DispatchCommand> commands = new ArrayList<>();
     List<RankedPhase> ready = new ArrayList<>();
+    double lastingCpuMillis = 0;
     for (JobState job : open) {
       if (!caughtUp && job.inherited) {
         continue;
       }
       for (List<PhaseState> phases : job.occurrences) {
         for (PhaseState phase : phases) {
+          if (phase.spec.lasting()) {
+            lastingCpuMillis += (double) phase.tasks.size() * phase.spec.need().cpuMillis();
+          }
           if (phase.isReady(wallMs) && phase.hasWaitingTask(nowMs)) {
             ready.add(new RankedPhase(ranking.rank(phase, wallMs), phase));
           }
         }
       }
     }
+    reserve.update(
+        workers.stream().filter(worker -> placement.isUsable(worker, nowMs)).toList(),
+        lastingCpuMillis,
+        wallMs);
     ready.sort((a, b) -> a.rank().compareTo(b.rank()));
     PlacementFailures failures = new PlacementFailures();
     for (RankedPhase next : ready) {
--- a/src/main/java/org/plantainloom/coordination/dispatch/WorkerState.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/WorkerState.java
@@ -87,6 +87,7 @@
   private ResourceVector reserved = ResourceVector.ZERO;
   private int fillCpuMillis;
   private int servingCpuMillis;
+  private int lastingCpuMillis;
 
   /**
    * An ended run that may be acknowledged to the worker once its job is persisted.
@@ -135,6 +136,11 @@
     return fillCpuMillis;
   }
 
+  /** Returns the processor time that lasting tasks reserve. */
+  int lastingCpuMillis() {
+    return lastingCpuMillis;
+  }
+
   void add(Run run) {
     runs.put(run.task.key, run);
     reserve(run, 1);
@@ -164,6 +170,9 @@
       fillCpuMillis += sign * need.cpuMillis();
       need = new ResourceVector(0, need.memoryMb(), need.accelerators());
     }
+    if (run.task.phase.spec.lasting()) {
+      lastingCpuMillis += sign * need.cpuMillis();
+    }
     if (run.task.phase.spec.tailObjectiveMs() > 0) {
       servingCpuMillis += sign * need.cpuMillis();
     }
