Refuse callers' requests at once while the store serves none

Cause: with a silent store each submission waited 1.2 s for the write and 1.2 s for the read-back, at a node that had seen no answer for seconds; its caller learned near its deadline that it had to come back.

Change: StoreAvailability decides from the time since the store last served a call; after 0.5 s requests are answered 503 with Retry-After without a call (so not run is true), one read each 250 ms tests whether the store is back, and the node reports not ready so that callers reach others.

Ran: StoreAvailabilityTest, NodeTest (should_refuse_requests_at_once_while_the_store_is_silent), green.

--- a/src/main/java/org/plantainloom/program/node/NodeProcess.java
+++ b/src/main/java/org/plantainloom/program/node/NodeProcess.java
@@ -124,7 +124,7 @@
   }
 
   private HttpResponse readiness() {
-    boolean ready = node.config().isKnown() && !stopping;
+    boolean ready = node.isReady() && !stopping;
     return HttpResponse.of(ready ? HttpStatus.OK : HttpStatus.SERVICE_UNAVAILABLE);
   }
 
--- a/src/main/java/org/plantainloom/transport/dispatch/JobRegistry.java
+++ b/src/main/java/org/plantainloom/transport/dispatch/JobRegistry.java
@@ -22,16 +22,21 @@
 final class JobRegistry {
   private static final Logger LOG = Logger.getLogger(JobRegistry.class);
 
-  private final TransactionalStore store;
+  private final GuardedStore store;
   private final MetricRegistry metrics;
   private final Timer submitTimer;
 
   JobRegistry(TransactionalStore store, MetricRegistry metrics) {
-    this.store = store;
+    this.store = new GuardedStore(store);
     this.metrics = metrics;
     this.submitTimer = metrics.timer("jobs.submit");
   }
 
+  /** Returns whether requests are refused because the store serves none. */
+  boolean isStoreUnavailable() {
+    return store.isUnavailable();
+  }
+
   /** Stores a job under its id; submitting the same id again has no further effect. */
   CompletableFuture<JobReply> submit(JobSpec spec) {
     String key = StoreKeys.job(spec.id());
@@ -57,7 +62,7 @@
   /** Checks whether a write that got no reply has taken effect. */
   private CompletableFuture<JobReply> verifySubmission(JobSpec spec) {
     return store
-        .read(StoreKeys.job(spec.id()))
+        .readBack(StoreKeys.job(spec.id()))
         .thenCompose(
             read ->
                 read instanceof ReadReply.Found found && !found.items().isEmpty()
--- a/src/main/java/org/plantainloom/transport/dispatch/Node.java
+++ b/src/main/java/org/plantainloom/transport/dispatch/Node.java
@@ -149,6 +149,11 @@
     return cluster.config();
   }
 
+  /** Returns whether this node can serve callers, who should go to another node otherwise. */
+  public boolean isReady() {
+    return config().isKnown() && !jobs.isStoreUnavailable();
+  }
+
   /** Submits a job. */
   public CompletableFuture<JobReply> submit(JobSpec spec) {
     return jobs.submit(spec);
--- /dev/null
+++ b/src/test/java/org/plantainloom/coordination/admission/StoreAvailabilityTest.java
@@ -0,0 +1,72 @@
+package org.plantainloom.coordination.admission;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.plantainloom.coordination.admission.StoreAvailability.Decision;
+import org.testng.annotations.Test;
+
+/** Replays calls to a store that is slow, silent and back again. */
+public class StoreAvailabilityTest {
+  /** Longest answer time of a slow store, with the network. */
+  private static final long SLOW_MS = 300;
+
+  @Test
+  public void should_send_requests_while_the_store_is_only_slow() {
+    // given
+    StoreAvailability store = new StoreAvailability();
+    for (long nowMs = 0; nowMs < 10_000; nowMs += SLOW_MS) {
+      // when
+      Decision decision = store.decide(nowMs);
+      store.callSent(nowMs);
+      // then
+      assertThat(decision).isEqualTo(Decision.SEND);
+      store.callServed();
+    }
+  }
+
+  @Test
+  public void should_refuse_requests_at_once_while_the_store_serves_none() {
+    // given: a request each 20 ms, none of which the store answers
+    StoreAvailability store = new StoreAvailability();
+    int refused = 0;
+    int sent = 0;
+    for (long nowMs = 0; nowMs < 6_500; nowMs += 20) {
+      // when
+      if (store.decide(nowMs) == Decision.SEND) {
+        store.callSent(nowMs);
+        sent++;
+      } else {
+        refused++;
+      }
+    }
+    // then: only those of the first half second have waited
+    assertThat(sent).isLessThanOrEqualTo(26);
+    assertThat(refused).isGreaterThan(290);
+  }
+
+  @Test
+  public void should_test_a_few_times_a_second_whether_the_store_is_back() {
+    // given
+    StoreAvailability store = new StoreAvailability();
+    store.callSent(0);
+    // when
+    int probes = 0;
+    for (long nowMs = 1_000; nowMs < 2_000; nowMs++) {
+      probes += store.decide(nowMs) == Decision.REFUSE_AND_PROBE ? 1 : 0;
+    }
+    // then
+    assertThat(probes).isEqualTo(4);
+    store.callServed();
+    assertThat(store.decide(2_000)).isEqualTo(Decision.SEND);
+  }
+
+  @Test
+  public void should_send_the_first_request_after_a_long_idle_time() {
+    // given
+    StoreAvailability store = new StoreAvailability();
+    store.callSent(0);
+    store.callServed();
+    // then
+    assertThat(store.decide(60_000)).isEqualTo(Decision.SEND);
+  }
+}
--- /dev/null
+++ b/src/test/java/org/plantainloom/coordination/admission/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the decisions about which requests are refused. */
+package org.plantainloom.coordination.admission;
--- a/src/test/java/org/plantainloom/platform/NodeTest.java
+++ b/src/test/java/org/plantainloom/platform/NodeTest.java
@@ -230,6 +230,24 @@
     assertThat(platform.storedValue("pl/job/00000000000000bb")).isEmpty();
   }
 
+  @Test
+  public void should_refuse_requests_at_once_while_the_store_is_silent() throws Exception {
+    // given: the store answers later than any call waits for it
+    startPlatform();
+    platform.configure(1);
+    WebClient client = startNode("a");
+    submit(client, LONG_RUNNING_JOB);
+    platform.setStoreDelay(AWAIT_TIMEOUT_MS);
+    String path = SimulatedPlatform.JOB_PATH_PREFIX + "00000000000000bb";
+    // when: the first request finds out; its fate is unknown
+    int first = send(client, HttpMethod.POST, path, TWO_PHASE_JOB).status().code();
+    // then: the next ones are refused as not run, without a call
+    assertThat(first).isEqualTo(504);
+    assertThat(send(client, HttpMethod.POST, path, TWO_PHASE_JOB).status().code()).isEqualTo(503);
+    platform.setStoreDelay(0);
+    await(() -> send(client, HttpMethod.POST, path, TWO_PHASE_JOB).status().code() == 200);
+  }
+
   @Test
   public void should_follow_changes_after_the_store_dropped_its_history() throws Exception {
     // given
