Test in the background whether an unavailable store is back

Change: a read each 250 ms follows a call that was not served, whether or not requests come.

Ran: StoreAvailabilityTest (should_find_out_without_requests_that_a_single_call_was_lost), NodeTest: green.

--- a/src/main/java/org/plantainloom/coordination/admission/StoreAvailability.java
+++ b/src/main/java/org/plantainloom/coordination/admission/StoreAvailability.java
@@ -9,8 +9,8 @@
  * caller learns only near its deadline that it has to come back. A refused request has provably not
  * run, as nothing was sent.
  *
- * <p>While the store is unavailable, one call per interval tests whether it is back. Not
- * thread-safe. Times are in milliseconds of a monotonic clock.
+ * <p>While the store is unavailable, one call per interval tests whether it is back, whether or not
+ * there are requests. Not thread-safe. Times are in milliseconds of a monotonic clock.
  */
 public final class StoreAvailability {
   /** A store that serves at all does so in less than this, even when it is slow. */
@@ -24,26 +24,19 @@
   private long unservedSinceMs = NONE;
   private long lastProbeMs = Long.MIN_VALUE / 2;
 
-  /** What to do with a request that needs the store. */
-  public enum Decision {
-    /** Send it. */
-    SEND,
-    /** Refuse it as not run. */
-    REFUSE,
-    /** Refuse it as not run, and test whether the store is back. */
-    REFUSE_AND_PROBE
+  /** Returns whether to send a request; if not, it is refused as not run. */
+  public boolean admits(long nowMs) {
+    return !isUnavailable(nowMs);
   }
 
-  /** Returns what to do with a request that needs the store. */
-  public Decision decide(long nowMs) {
-    if (!isUnavailable(nowMs)) {
-      return Decision.SEND;
-    }
-    if (nowMs - lastProbeMs < PROBE_INTERVAL_MS) {
-      return Decision.REFUSE;
-    }
+  /** Returns whether it is time to test whether the store is back. */
+  public boolean isProbeDue(long nowMs) {
+    return unservedSinceMs != NONE && nowMs - lastProbeMs >= PROBE_INTERVAL_MS;
+  }
+
+  /** Handles that a test was sent. */
+  public void probeSent(long nowMs) {
     lastProbeMs = nowMs;
-    return Decision.REFUSE_AND_PROBE;
   }
 
   /** Returns whether no call has been served for a while although some were sent. */
@@ -55,6 +48,7 @@
   public void callSent(long nowMs) {
     if (unservedSinceMs == NONE) {
       unservedSinceMs = nowMs;
+      lastProbeMs = nowMs;
     }
   }
 
--- a/src/main/java/org/plantainloom/transport/dispatch/GuardedStore.java
+++ b/src/main/java/org/plantainloom/transport/dispatch/GuardedStore.java
@@ -64,8 +64,7 @@
   /** Returns why a call must not be sent; empty if it may. */
   private synchronized Optional<String> admit() {
     long now = NodeContext.nowMs();
-    StoreAvailability.Decision decision = availability.decide(now);
-    if (decision == StoreAvailability.Decision.SEND) {
+    if (availability.admits(now)) {
       availability.callSent(now);
       return Optional.empty();
     }
@@ -73,14 +72,19 @@
       reportedLost = true;
       LOG.warn("event=store-lost effect=requests are refused until it serves a call");
     }
-    if (decision == StoreAvailability.Decision.REFUSE_AND_PROBE) {
-      probe();
-    }
     return Optional.of("the store has served no call for some time");
   }
 
+  /** Tests whether the store is back if calls have not been served and a test is due. */
+  synchronized void probeIfDue(long nowMs) {
+    if (availability.isProbeDue(nowMs)) {
+      availability.probeSent(nowMs);
+      sendProbe();
+    }
+  }
+
   @SuppressWarnings("FutureReturnValueIgnored") // its reply is recorded
-  private void probe() {
+  private void sendProbe() {
     store.read(StoreKeys.TERM).thenApply(this::recordRead);
   }
 
--- a/src/main/java/org/plantainloom/transport/dispatch/JobRegistry.java
+++ b/src/main/java/org/plantainloom/transport/dispatch/JobRegistry.java
@@ -37,6 +37,11 @@
     return store.isUnavailable();
   }
 
+  /** Tests whether an unavailable store is back, if that is due. */
+  void tick(long nowMs) {
+    store.probeIfDue(nowMs);
+  }
+
   /** Stores a job under its id; submitting the same id again has no further effect. */
   CompletableFuture<JobReply> submit(JobSpec spec) {
     String key = StoreKeys.job(spec.id());
--- a/src/main/java/org/plantainloom/transport/dispatch/Node.java
+++ b/src/main/java/org/plantainloom/transport/dispatch/Node.java
@@ -107,6 +107,7 @@
     long now = NodeContext.nowMs();
     detectPause(now);
     election.tick(now);
+    jobs.tick(now);
     owner = election.owner();
     while (!delayedActions.isEmpty() && delayedActions.peek().dueMs() <= now) {
       delayedActions.poll().action().run();
--- a/src/test/java/org/plantainloom/coordination/admission/StoreAvailabilityTest.java
+++ b/src/test/java/org/plantainloom/coordination/admission/StoreAvailabilityTest.java
@@ -2,7 +2,6 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import org.plantainloom.coordination.admission.StoreAvailability.Decision;
 import org.testng.annotations.Test;
 
 /** Replays calls to a store that is slow, silent and back again. */
@@ -16,10 +15,10 @@
     StoreAvailability store = new StoreAvailability();
     for (long nowMs = 0; nowMs < 10_000; nowMs += SLOW_MS) {
       // when
-      Decision decision = store.decide(nowMs);
+      boolean admitted = store.admits(nowMs);
       store.callSent(nowMs);
       // then
-      assertThat(decision).isEqualTo(Decision.SEND);
+      assertThat(admitted).isTrue();
       store.callServed();
     }
   }
@@ -32,7 +31,7 @@
     int sent = 0;
     for (long nowMs = 0; nowMs < 6_500; nowMs += 20) {
       // when
-      if (store.decide(nowMs) == Decision.SEND) {
+      if (store.admits(nowMs)) {
         store.callSent(nowMs);
         sent++;
       } else {
@@ -52,12 +51,29 @@
     // when
     int probes = 0;
     for (long nowMs = 1_000; nowMs < 2_000; nowMs++) {
-      probes += store.decide(nowMs) == Decision.REFUSE_AND_PROBE ? 1 : 0;
+      if (store.isProbeDue(nowMs)) {
+        probes++;
+        store.probeSent(nowMs);
+      }
     }
     // then
     assertThat(probes).isEqualTo(4);
     store.callServed();
-    assertThat(store.decide(2_000)).isEqualTo(Decision.SEND);
+    assertThat(store.admits(2_000)).isTrue();
+    assertThat(store.isProbeDue(60_000)).isFalse();
+  }
+
+  @Test
+  public void should_find_out_without_requests_that_a_single_call_was_lost() {
+    // given: one call without an answer, and no request for a while after it
+    StoreAvailability store = new StoreAvailability();
+    store.callSent(0);
+    // when: the test that is due before the store counts as unavailable is served
+    assertThat(store.isProbeDue(300)).isTrue();
+    store.probeSent(300);
+    store.callServed();
+    // then
+    assertThat(store.admits(30_000)).isTrue();
   }
 
   @Test
@@ -67,6 +83,6 @@
     store.callSent(0);
     store.callServed();
     // then
-    assertThat(store.decide(60_000)).isEqualTo(Decision.SEND);
+    assertThat(store.admits(60_000)).isTrue();
   }
 }
