Let fill tasks that are known to be harmless run beside serving tasks without slack

Change: a pair counts 0 once its coefficient plus its standard deviation is below the smallest that matters.

--- a/src/main/java/org/plantainloom/coordination/dispatch/ServingImage.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/ServingImage.java
@@ -56,11 +56,15 @@
     return significant ? LAG_CORRECTION * coefficient : 0;
   }
 
-  /** Returns a coefficient that is higher the less is known of it; never negative. */
+  /**
+   * Returns a coefficient that is higher the less is known of it; 0 once the pair is known to be
+   * harmless. Small remainders would add up over the tasks of a worker and keep all fill tasks away
+   * from serving tasks that have no slack left by themselves.
+   */
   double cautiousCoefficient(int feature) {
     double deviation = estimate.standardDeviation(feature);
     double coefficient = estimate.coefficient(feature) + CAUTION_DEVIATIONS * deviation;
-    return Math.max(0, LAG_CORRECTION * coefficient);
+    return coefficient < MIN_COEFFICIENT ? 0 : LAG_CORRECTION * coefficient;
   }
 
   /** Returns the slack that fill tasks are expected to take, by the share that each image uses. */
