Notice a pause of the process before any task acts on it

Cause: after a pause the event loop ran the first waiting task, such as the answer to a poll, and the round of decisions that it causes, before the tick that detects the pause.

Change: the loop checks whether a tick is due before each task, too.

--- a/src/main/java/org/plantainloom/transport/duty/EventLoop.java
+++ b/src/main/java/org/plantainloom/transport/duty/EventLoop.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.LongSupplier;
 import org.jboss.logging.Logger;
 
 /**
@@ -32,16 +33,19 @@
   private final String name;
   private final long tickMs;
   private final Runnable tick;
+  private final LongSupplier clockNanos;
   private final Disruptor<Slot> disruptor;
   private final Queue<Runnable> localTasks = new ArrayDeque<>();
   private volatile Thread thread;
-  private long lastTickNanos = System.nanoTime();
+  private long lastTickNanos;
 
   private static final class Slot {
     private Runnable task;
   }
 
-  private EventLoop(String name, long tickMs, Runnable tick) {
+  private EventLoop(String name, long tickMs, Runnable tick, LongSupplier clockNanos) {
+    this.clockNanos = clockNanos;
+    this.lastTickNanos = clockNanos.getAsLong();
     this.name = name;
     this.tickMs = tickMs;
     this.tick = tick;
@@ -62,7 +66,12 @@
    * @param tick run on the loop's thread at each interval
    */
   public static EventLoop start(String name, long tickMs, Runnable tick) {
-    EventLoop loop = new EventLoop(name, tickMs, tick);
+    return start(name, tickMs, tick, System::nanoTime);
+  }
+
+  /** Starts an event loop with another clock than the system's. */
+  static EventLoop start(String name, long tickMs, Runnable tick, LongSupplier clockNanos) {
+    EventLoop loop = new EventLoop(name, tickMs, tick, clockNanos);
     loop.disruptor.handleEventsWith(loop.new Handler());
     loop.disruptor.start();
     return loop;
@@ -126,7 +135,7 @@
   }
 
   private void tickIfDue() {
-    long nanos = System.nanoTime();
+    long nanos = clockNanos.getAsLong();
     if (nanos - lastTickNanos >= TimeUnit.MILLISECONDS.toNanos(tickMs)) {
       lastTickNanos = nanos;
       run(tick);
@@ -137,6 +146,8 @@
   private final class Handler implements EventHandler<Slot> {
     @Override
     public void onEvent(Slot slot, long sequence, boolean endOfBatch) {
+      // After a pause of the process, the tick notices it before any task acts on what has expired.
+      tickIfDue();
       Runnable task = slot.task;
       slot.task = null;
       run(task);
