--- a/src/main/java/org/plantainloom/coordination/dispatch/WorkerState.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/WorkerState.java
@@ -32,11 +32,14 @@
   boolean registered = true;
 
   /**
-   * Whether the worker was draining and removed its own registration. Once it stops answering it is
-   * gone, so nobody has to wait for its lease.
+   * Whether the worker was draining and probably removed its own registration. If it does not
+   * answer either, nobody has to wait for its lease.
    */
   boolean deregistered;
 
+  /** When the registration was found to be gone, if {@link #deregistered}. */
+  long deregisteredSinceMs;
+
   /** Whether the store lists the worker in its current state, so that the next owner polls it. */
   boolean persisted;
 
--- a/src/main/java/org/plantainloom/coordination/dispatch/WorkerTable.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/WorkerTable.java
@@ -122,6 +122,7 @@
     WorkerState worker = workers.get(workerId);
     if (worker != null && worker.registered) {
       worker.registered = false;
+      worker.deregisteredSinceMs = nowMs;
       worker.deregistered =
           worker.registration.draining() && nowMs - worker.lastAnswerMs < DEREGISTRATION_WINDOW_MS;
       log.logDecision("worker-unregistered", workerId, "runs=" + worker.runs.size());
