Give up the reserve for short tasks where they leave it unused

The platform lets a lasting task wait three seconds at most while there is room for it twice over, so a reserve that short tasks do not use must not be kept.

Change: the places for lasting tasks on the kept workers are counted; what was free at every moment of two periods of 0.7 s is given up, but for one place. Room that short tasks fill now and then stays.

Ran: ShortTaskReserveTest.should_not_let_a_lasting_task_wait_beside_room_that_short_jobs_do_not_use failed before (after 3.5 s the reserve was still free).

--- a/src/main/java/org/plantainloom/coordination/dispatch/ShortTaskReserve.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/ShortTaskReserve.java
@@ -19,6 +19,10 @@
  *
  * <p>The reserve follows the processor time that short jobs have asked for lately. It is kept on
  * whole workers, as a rest of room on each worker would be too small for a large task.
+ *
+ * <p>A lasting task must not wait beside room that nobody uses: the platform allows that for three
+ * seconds. Room for two lasting tasks that short tasks have left unused for two seconds is
+ * therefore given up, a few tasks at a time, until short tasks fill the rest now and then.
  */
 final class ShortTaskReserve {
   /** Time over which the demand of short jobs is averaged. */
@@ -33,11 +37,18 @@
   /** Largest share of the workers' processors that is reserved. */
   private static final double MAX_SHARE = 0.25;
 
+  /** Room is given up when it was unused for two whole periods, so after 2.1 s at the latest. */
+  private static final long USE_PERIOD_MS = 700;
+
   private double demandCpuMillisMs;
   private long demandAsOfMs;
   private long firstAcceptedMs = Long.MAX_VALUE;
   private Set<WorkerState> keptWorkers = Set.of();
   private boolean lastingTasksFit = true;
+  private long periodStartMs;
+  private int fewestPlaces;
+  private int fewestPlacesBefore;
+  private int givenUpPlaces;
 
   /** Takes account of an accepted job, also of one that a previous owner knew. */
   void jobAccepted(JobSpec job) {
@@ -83,8 +94,14 @@
    *
    * @param usable workers that may get tasks
    * @param lastingCpuMillis what all lasting tasks, running or waiting, need
+   * @param smallestWaitingCpuMillis what the smallest waiting lasting task needs; 0 if none waits
    */
-  void update(Collection<WorkerState> usable, double lastingCpuMillis, long wallMs) {
+  void update(
+      Collection<WorkerState> usable,
+      double lastingCpuMillis,
+      int smallestWaitingCpuMillis,
+      long nowMs,
+      long wallMs) {
     double capacity = usable.stream().mapToDouble(ShortTaskReserve::cpuMillis).sum();
     double reserve = Math.min(reservedCpuMillis(wallMs), MAX_SHARE * capacity);
     lastingTasksFit = lastingCpuMillis + reserve <= capacity;
@@ -100,6 +117,31 @@
       reserve -= cpuMillis(worker) - worker.lastingCpuMillis();
     }
     keptWorkers = kept;
+    giveUpUnused(smallestWaitingCpuMillis, nowMs);
+  }
+
+  private void giveUpUnused(int waitingCpuMillis, long nowMs) {
+    int places = 0;
+    if (waitingCpuMillis > 0) {
+      for (WorkerState worker : keptWorkers) {
+        double free = cpuMillis(worker) - worker.reserved().cpuMillis();
+        places += (int) Math.max(0, free / waitingCpuMillis);
+      }
+    }
+    fewestPlaces = Math.min(fewestPlaces, places);
+    if (nowMs - periodStartMs >= USE_PERIOD_MS) {
+      givenUpPlaces = Math.max(0, Math.min(fewestPlaces, fewestPlacesBefore) - 1);
+      fewestPlacesBefore = Math.max(0, fewestPlaces - givenUpPlaces);
+      fewestPlaces = Integer.MAX_VALUE;
+      periodStartMs = nowMs;
+    }
+  }
+
+  /** Takes account of the start of a lasting task. */
+  void lastingTaskStarted(WorkerState worker) {
+    if (keptWorkers.contains(worker)) {
+      givenUpPlaces--;
+    }
   }
 
   private static double cpuMillis(WorkerState worker) {
@@ -113,6 +155,6 @@
 
   /** Returns whether no lasting task may start on a worker. */
   boolean isClosedToLasting(WorkerState worker) {
-    return !lastingTasksFit && keptWorkers.contains(worker);
+    return !lastingTasksFit && givenUpPlaces <= 0 && keptWorkers.contains(worker);
   }
 }
--- a/src/main/java/org/plantainloom/coordination/dispatch/TaskStarter.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/TaskStarter.java
@@ -57,6 +57,7 @@
     List<DispatchCommand> commands = new ArrayList<>();
     List<RankedPhase> ready = new ArrayList<>();
     double lastingCpuMillis = 0;
+    int smallestWaitingCpuMillis = 0;
     for (JobState job : open) {
       if (!caughtUp && job.inherited) {
         continue;
@@ -67,6 +68,11 @@
             lastingCpuMillis += (double) phase.tasks.size() * phase.spec.need().cpuMillis();
           }
           if (phase.isReady(wallMs) && phase.hasWaitingTask(nowMs)) {
+            int cpuMillis = phase.spec.need().cpuMillis();
+            if (phase.spec.lasting()
+                && (smallestWaitingCpuMillis == 0 || cpuMillis < smallestWaitingCpuMillis)) {
+              smallestWaitingCpuMillis = Math.max(1, cpuMillis);
+            }
             ready.add(new RankedPhase(ranking.rank(phase, wallMs), phase));
           }
         }
@@ -75,6 +81,8 @@
     reserve.update(
         workers.stream().filter(worker -> placement.isUsable(worker, nowMs)).toList(),
         lastingCpuMillis,
+        smallestWaitingCpuMillis,
+        nowMs,
         wallMs);
     ready.sort((a, b) -> a.rank().compareTo(b.rank()));
     PlacementFailures failures = new PlacementFailures();
@@ -120,6 +128,9 @@
         }
         break;
       }
+      if (phase.spec.lasting()) {
+        reserve.lastingTaskStarted(worker);
+      }
       long runNumber = phase.spec.gang() ? gangNumber : runs.nextNumber(task);
       started.add(runs.begin(task, worker, runNumber, nowMs));
     }
--- a/src/test/java/org/plantainloom/coordination/dispatch/ShortTaskReserveTest.java
+++ b/src/test/java/org/plantainloom/coordination/dispatch/ShortTaskReserveTest.java
@@ -85,6 +85,22 @@
     assertThat(lasting).isGreaterThanOrEqualTo(WORKERS * CORES * 3 / 4 * 10 / 64 * 9 / 10);
   }
 
+  @Test
+  public void should_not_let_a_lasting_task_wait_beside_room_that_short_jobs_do_not_use() {
+    // given: regression (further, trouble-2: LOST): short jobs came, and then came no more
+    DispatcherSimulation simulation = new DispatcherSimulation(WORKERS, CORES).run(100);
+    simulation.taskDurationMs = SHORT_TASK_MS;
+    submitShortJobs(simulation, 20);
+    for (int i = 0; i < 13; i++) {
+      JobSpec job = job("lasting-" + i, "urgent", serving(10, 6_400, ""));
+      simulation.submit(acceptedNow(simulation, job));
+    }
+    // when: the platform tolerates 3 s
+    simulation.run(SHORT_TASK_MS + 3_000);
+    // then: there is room for less than two more
+    assertThat(simulation.runningCount()).isGreaterThanOrEqualTo(WORKERS * 5 - 1);
+  }
+
   @Test
   public void should_use_all_room_for_lasting_tasks_when_there_are_no_short_jobs() {
     // given
