Let nodes with little processor time campaign later

Cause: any node could become the owner.

Change: CampaignDelay adds up to 250 ms for what a node lacks of a whole core; like nodes keep their order and the nodes near the store still come first. The settings get the share and speed of the core.

--- a/src/main/java/org/plantainloom/program/node/ArchiveTraining.java
+++ b/src/main/java/org/plantainloom/program/node/ArchiveTraining.java
@@ -63,7 +63,7 @@
             + freePort()
             + "\", // as the platform renders it\n\"storeAddress\": \""
             + platform.storeAddress()
-            + "\", \"maxLeaseMs\": 6000, \"stopGraceMs\": 400, \"stopWithinS\": 6}";
+            + "\", \"coreShare\": 1, \"coreSpeed\": 1, \"maxLeaseMs\": 6000, \"stopGraceMs\": 400, \"stopWithinS\": 6}";
     return NodeSettings.read(DocumentReader.parse("training", text));
   }
 
--- a/src/main/java/org/plantainloom/program/node/NodeProcess.java
+++ b/src/main/java/org/plantainloom/program/node/NodeProcess.java
@@ -68,6 +68,7 @@
             new NodeContext(
                 settings.name(),
                 settings.controlAddress(),
+                settings.processors(),
                 new PlatformStore(client, settings.storeAddress()),
                 new PlatformWorkers(client),
                 new PlatformCodec(),
--- a/src/main/java/org/plantainloom/transport/dispatch/NodeContext.java
+++ b/src/main/java/org/plantainloom/transport/dispatch/NodeContext.java
@@ -11,6 +11,7 @@
  *
  * @param name the node's name
  * @param controlAddress host and port at which other nodes reach this node
+ * @param processors processor time that the node has per second, in cores
  * @param store the platform's store
  * @param workers sends commands to the workers
  * @param codec decodes the store entries that operators and workers write
@@ -20,6 +21,7 @@
 public record NodeContext(
     String name,
     String controlAddress,
+    double processors,
     TransactionalStore store,
     TaskWorkers workers,
     ClusterCodec codec,
--- a/src/main/java/org/plantainloom/transport/dispatch/OwnerElection.java
+++ b/src/main/java/org/plantainloom/transport/dispatch/OwnerElection.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import java.util.function.Consumer;
 import org.jboss.logging.Logger;
+import org.plantainloom.coordination.membership.CampaignDelay;
 import org.plantainloom.protocol.Json;
 import org.plantainloom.protocol.MalformedMessageException;
 import org.plantainloom.state.store.CommitReply;
@@ -33,15 +34,6 @@
   private static final long RENEW_INTERVAL_MS = 500;
   private static final long RETRY_MS = 300;
 
-  /**
-   * Before a campaign, a node waits this many times its one-way delay to the store, so that nodes
-   * nearer to the store campaign first.
-   */
-  private static final int STORE_DELAY_FACTOR = 10;
-
-  /** Longest jitter before a campaign, so that nodes do not all campaign at once. */
-  private static final int MAX_JITTER_MS = 120;
-
   private final NodeContext node;
   private final EventLoop eventLoop;
   private final PrefixWatch.DelayedExecutor delayedExecutor;
@@ -197,8 +189,9 @@
       return;
     }
     campaigning = true;
-    long jitter = Math.floorMod(node.name().hashCode() * 31L + NodeContext.nowMs(), MAX_JITTER_MS);
-    delayedExecutor.schedule(jitter + STORE_DELAY_FACTOR * oneWayDelayMs, this::campaign);
+    long seed = node.name().hashCode() * 31L + NodeContext.nowMs();
+    delayedExecutor.schedule(
+        CampaignDelay.of(node.processors(), oneWayDelayMs, seed), this::campaign);
   }
 
   private void campaign() {
--- a/src/test/java/org/plantainloom/platform/NodeTest.java
+++ b/src/test/java/org/plantainloom/platform/NodeTest.java
@@ -48,6 +48,7 @@
             new NodeContext(
                 name,
                 "127.0.0.1:1",
+                1,
                 new PlatformStore(client, platform.storeAddress()),
                 new PlatformWorkers(client),
                 new PlatformCodec(),
--- a/src/test/java/org/plantainloom/program/node/GracefulShutdownTest.java
+++ b/src/test/java/org/plantainloom/program/node/GracefulShutdownTest.java
@@ -120,7 +120,7 @@
         String.format(
             "{\"name\": \"n\", \"callerAddress\": \"%s\", \"readinessAddress\": \"127.0.0.1:%d\","
                 + "\"controlAddress\": \"127.0.0.1:%d\", \"storeAddress\": \"%s\","
-                + "\"maxLeaseMs\": 6000, \"stopGraceMs\": 400, \"stopWithinS\": 6}",
+                + "\"coreShare\": 1, \"coreSpeed\": 1, \"maxLeaseMs\": 6000, \"stopGraceMs\": 400, \"stopWithinS\": 6}",
             callerAddress, freePort(), freePort(), platform.storeAddress());
     return NodeSettings.read(DocumentReader.parse("test", text));
   }
--- a/src/test/java/org/plantainloom/soak/SoakNode.java
+++ b/src/test/java/org/plantainloom/soak/SoakNode.java
@@ -44,7 +44,7 @@
         String.format(
             "{\"name\": \"%s\", \"callerAddress\": \"%s\", \"readinessAddress\": \"127.0.0.1:%d\","
                 + "\"controlAddress\": \"127.0.0.1:%d\", \"storeAddress\": \"%s\","
-                + "\"maxLeaseMs\": 6000, \"stopGraceMs\": 400, \"stopWithinS\": 6}",
+                + "\"coreShare\": 1, \"coreSpeed\": 1, \"maxLeaseMs\": 6000, \"stopGraceMs\": 400, \"stopWithinS\": 6}",
             name, callerAddress, freePort(), freePort(), storeProxy.address()));
     start();
   }
