--- a/src/main/java/org/plantainloom/coordination/dispatch/ShortTaskReserve.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/ShortTaskReserve.java
@@ -21,8 +21,8 @@
  * whole workers, as a rest of room on each worker would be too small for a large task.
  *
  * <p>A lasting task must not wait beside room that nobody uses: the platform allows that for three
- * seconds. Room for two lasting tasks that short tasks have left unused for two seconds is
- * therefore given up, a few tasks at a time, until short tasks fill the rest now and then.
+ * seconds. What short tasks have left unused at every moment of two periods is therefore given up,
+ * but for the place of one lasting task. Room that short tasks fill now and then stays theirs.
  */
 final class ShortTaskReserve {
   /** Time over which the demand of short jobs is averaged. */
@@ -46,8 +46,14 @@
   private Set<WorkerState> keptWorkers = Set.of();
   private boolean lastingTasksFit = true;
   private long periodStartMs;
+
+  /** Fewest places for lasting tasks that the kept workers had at any time of this period. */
   private int fewestPlaces;
+
+  /** The same of the period before. */
   private int fewestPlacesBefore;
+
+  /** Lasting tasks that may still start on kept workers. */
   private int givenUpPlaces;
 
   /** Takes account of an accepted job, also of one that a previous owner knew. */
