Log which workers a takeover waits for, and measure rounds of decisions

After an incident the logs did not tell whether tasks of accepted jobs waited for workers that did not answer, or for an owner that was too busy: caught-up comes only at the end, and nothing measured the rounds. A line a second names the number of unanswered workers, the first three and the longest wait; a timer measures each round.

--- a/src/main/java/org/plantainloom/coordination/dispatch/Dispatcher.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/Dispatcher.java
@@ -48,6 +48,12 @@
    */
   private static final long REREGISTRATION_MS = 2_200;
 
+  /** A takeover lasts for at most some seconds, so that this interval bounds the lines. */
+  private static final long TAKEOVER_LOG_INTERVAL_MS = 1_000;
+
+  /** Workers that a line of the log names. */
+  private static final int MAX_LOGGED_WORKERS = 3;
+
   private final DispatchPolicy policy;
   private final DecisionLog log;
   private final JobTable jobs = new JobTable();
@@ -65,6 +71,8 @@
   /** When the leases that previous owners gave have expired for certain. */
   private long inheritedLeasesEndMs;
 
+  private long takeoverLoggedMs;
+
   private ClusterConfig config = ClusterConfig.UNKNOWN;
   private boolean fenced;
 
@@ -86,6 +94,7 @@
     this.policy = policy;
     this.log = log;
     this.inheritedLeasesEndMs = nowMs + policy.takeoverTimeoutMs();
+    this.takeoverLoggedMs = nowMs;
     this.workers = new WorkerTable(jobs, log);
     this.runs =
         new RunLifecycle(
@@ -277,10 +286,31 @@
       if (caughtUp) {
         log.logDecision(
             "caught-up", "fleet", "workers=" + workers.all().size() + " all=" + allConfirmed);
+      } else if (nowMs - takeoverLoggedMs >= TAKEOVER_LOG_INTERVAL_MS) {
+        takeoverLoggedMs = nowMs;
+        logUnansweredWorkers(nowMs);
       }
     }
   }
 
+  /** Says for which workers the tasks of inherited jobs wait, and for how long at the most. */
+  private void logUnansweredWorkers(long nowMs) {
+    List<String> unanswered =
+        workers.all().stream()
+            .filter(worker -> !worker.confirmed && worker.possibleTasks.isEmpty())
+            .map(WorkerState::id)
+            .toList();
+    log.logDecision(
+        "takeover-waits",
+        "fleet",
+        "unanswered="
+            + unanswered.size()
+            + " first="
+            + unanswered.subList(0, Math.min(MAX_LOGGED_WORKERS, unanswered.size()))
+            + " atMostMs="
+            + (inheritedLeasesEndMs - nowMs));
+  }
+
   private static void addStopCommands(
       WorkerState worker, List<DispatchCommand> commands, long nowMs) {
     if (!worker.mayHaveStoppingRuns) {
--- a/src/main/java/org/plantainloom/transport/dispatch/OwnerSession.java
+++ b/src/main/java/org/plantainloom/transport/dispatch/OwnerSession.java
@@ -60,6 +60,7 @@
   private final List<PrefixWatch> watches = new ArrayList<>();
   private final Counter startCounter;
   private final Timer startReplyTimer;
+  private final Timer roundTimer;
   private Optional<ReadReply.Found> storedJobs = Optional.empty();
   private Optional<ReadReply.Found> storedProgress = Optional.empty();
   private final List<Runnable> deferredReplies = new ArrayList<>();
@@ -94,6 +95,7 @@
     this.predecessorInquiry = ownership.predecessors().map(this::inquire);
     this.startCounter = node.metrics().counter("runs.ordered");
     this.startReplyTimer = node.metrics().timer("runs.start-answer");
+    this.roundTimer = node.metrics().timer("decisions.round");
     load();
   }
 
@@ -320,6 +322,7 @@
     }
     decideAndSend();
     long spentNanos = System.nanoTime() - startedNanos;
+    roundTimer.update(spentNanos, TimeUnit.NANOSECONDS);
     nextRoundNanos = startedNanos + (1 + ROUND_PAUSE_FACTOR) * spentNanos;
   }
 
--- a/src/test/java/org/plantainloom/coordination/dispatch/TakeoverTest.java
+++ b/src/test/java/org/plantainloom/coordination/dispatch/TakeoverTest.java
@@ -89,6 +89,11 @@
     takeOver(simulation, job).run(5_000);
     // then: the lease of the unreachable worker may still be valid
     assertThat(simulation.startCount(FIRST)).isEqualTo(1);
+    assertThat(simulation.log)
+        .anyMatch(
+            line ->
+                line.contains(
+                    "takeover-waits fleet unanswered=1 first=[" + holder.registration.id() + "]"));
     // and the task starts again after the lease must have expired
     simulation.run(4_000);
     assertThat(simulation.startCount(FIRST)).isEqualTo(2);
