Count the age of a process from its start, not from that of its node

A process that was restarted answers a new owner with the time since its node was created, a second of class loading after the start on a small VM. By as much the new owner waited longer for leases of the process before. The time is now taken first thing in main.

--- a/src/main/java/org/plantainloom/program/node/NodeMain.java
+++ b/src/main/java/org/plantainloom/program/node/NodeMain.java
@@ -9,10 +9,12 @@
 
   /** Starts a node. Without options, the platform's environment variable names the settings. */
   public static void main(String[] args) {
+    // Loading the classes of the program takes a second on a small VM.
+    long startedMs = System.nanoTime() / 1_000_000;
     String settingsPath = System.getenv(NodeSettings.PATH_VARIABLE);
     String[] options =
         args.length == 0 && settingsPath != null ? new String[] {"--config", settingsPath} : args;
     ProgramLauncher.forProgram("plantainloom-node")
-        .run(options, NodeSettings::read, NodeProcess::run);
+        .run(options, NodeSettings::read, settings -> NodeProcess.run(settings, startedMs));
   }
 }
--- a/src/main/java/org/plantainloom/program/node/NodeProcess.java
+++ b/src/main/java/org/plantainloom/program/node/NodeProcess.java
@@ -60,7 +60,7 @@
   private final Server server;
   private volatile boolean stopping;
 
-  private NodeProcess(NodeSettings settings) {
+  private NodeProcess(NodeSettings settings, long startedMs) {
     this.settings = settings;
     this.client = new PlatformHttpClient();
     MetricRegistry metrics = new MetricRegistry();
@@ -75,7 +75,8 @@
                 new PlatformOwnerPeers(client),
                 new PlatformCodec(),
                 DispatchPolicy.of(settings.maxLeaseMs(), settings.stopGraceMs()),
-                metrics));
+                metrics,
+                startedMs));
     this.server = server(metrics);
     server.start().join();
     LOG.infof("event=started node=%s callers=%s", settings.name(), settings.callerAddress());
@@ -140,12 +141,16 @@
 
   /** Starts a node without handlers for signals. */
   static NodeProcess start(NodeSettings settings) {
-    return new NodeProcess(settings);
+    return new NodeProcess(settings, NodeContext.nowMs());
   }
 
-  /** Starts a node that shuts down on SIGTERM or SIGINT and logs SIGHUP. */
-  static ExitCode run(NodeSettings settings) {
-    NodeProcess process = start(settings);
+  /**
+   * Starts a node that shuts down on SIGTERM or SIGINT and logs SIGHUP.
+   *
+   * @param startedMs when the process started, on the monotonic clock
+   */
+  static ExitCode run(NodeSettings settings, long startedMs) {
+    NodeProcess process = new NodeProcess(settings, startedMs);
     ShutdownHook.register(process::stop);
     HangupSignal.onSignal(
         () -> LOG.infof("event=reloaded node=%s changed=nothing", settings.name()));
--- a/src/main/java/org/plantainloom/transport/dispatch/Node.java
+++ b/src/main/java/org/plantainloom/transport/dispatch/Node.java
@@ -43,12 +43,13 @@
   private long lastConfirmMs;
 
   /** When this node last stopped being an owner, or started. */
-  private long notOwnerSinceMs = NodeContext.nowMs();
+  private long notOwnerSinceMs;
 
   private record DelayedAction(long dueMs, Runnable action) {}
 
   private Node(NodeContext context) {
     this.name = context.name();
+    this.notOwnerSinceMs = context.startedMs();
     // The event loop may tick before the constructor has created the other parts.
     this.eventLoop = EventLoop.start("node", TICK_MS, () -> onTick.ifPresent(Runnable::run));
     this.cluster = new ClusterView(context.codec(), this::clusterChanged);
--- a/src/main/java/org/plantainloom/transport/dispatch/NodeContext.java
+++ b/src/main/java/org/plantainloom/transport/dispatch/NodeContext.java
@@ -18,6 +18,8 @@
  * @param codec decodes the store entries that operators and workers write
  * @param policy timeouts and limits of the dispatcher
  * @param metrics the node's metrics
+ * @param startedMs a time before which this process has sent no command, on the monotonic clock;
+ *     the earlier it is, the sooner a new owner knows that its predecessor's leases are over
  */
 public record NodeContext(
     String name,
@@ -28,9 +30,10 @@
     OwnerPeers peers,
     ClusterCodec codec,
     DispatchPolicy policy,
-    MetricRegistry metrics) {
+    MetricRegistry metrics,
+    long startedMs) {
   /** Returns a monotonic time in milliseconds. */
-  static long nowMs() {
+  public static long nowMs() {
     return System.nanoTime() / 1_000_000;
   }
 
--- a/src/test/java/org/plantainloom/platform/NodeTest.java
+++ b/src/test/java/org/plantainloom/platform/NodeTest.java
@@ -54,7 +54,8 @@
                 new PlatformOwnerPeers(client),
                 new PlatformCodec(),
                 DispatchPolicy.of(6_000, 400),
-                new MetricRegistry()));
+                new MetricRegistry(),
+                NodeContext.nowMs()));
     Server server =
         Server.builder()
             .http(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0))
--- a/src/test/java/org/plantainloom/platform/PlatformOwnerPeersTest.java
+++ b/src/test/java/org/plantainloom/platform/PlatformOwnerPeersTest.java
@@ -47,7 +47,8 @@
                 new PlatformOwnerPeers(client),
                 new PlatformCodec(),
                 DispatchPolicy.of(6_000, 400),
-                new MetricRegistry()));
+                new MetricRegistry(),
+                NodeContext.nowMs()));
     server =
         Server.builder()
             .http(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0))
