Elect an owner although the count of owners is damaged

After another writer had overwritten pl/term, no node ever became the owner: all accepted jobs stayed queued. Long.parseLong threw in OwnerElection.claimOwnership while `campaigning` was true, so that no node tried again. A smaller number was believed: the next owner then used a fencing token that workers had already seen, or a lower one, and was refused by them.

Each term was written by a transaction of its own, so no term exceeds the revision of its item. A value that is no number between 1 and that revision is now reported once, and the terms go on from the revision. A node also remembers the highest claim that it has seen and never claims with a lower term. A smaller number that no node remembers as wrong (all nodes restarted) is still believed. Run numbers (term x 100,000) overflow only beyond a revision of 9 x 10^13.

--- a/src/main/java/org/plantainloom/platform/standin/SimulatedPlatform.java
+++ b/src/main/java/org/plantainloom/platform/standin/SimulatedPlatform.java
@@ -201,6 +201,11 @@
     workers.get(worker).setFailing(failing);
   }
 
+  /** Writes a key of the store without a lease, as another writer may. */
+  public void overwrite(String key, String value) {
+    store.put(key, value);
+  }
+
   /** Returns the value of a key of the store; empty if there is none. */
   public String storedValue(String key) {
     return store.value(key);
--- a/src/main/java/org/plantainloom/transport/dispatch/OwnerElection.java
+++ b/src/main/java/org/plantainloom/transport/dispatch/OwnerElection.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.function.Consumer;
 import org.jboss.logging.Logger;
 import org.plantainloom.coordination.membership.CampaignDelay;
@@ -40,6 +41,10 @@
   private final OwnershipListener listener;
   private Optional<OwnerRecord> owner = Optional.empty();
   private boolean ownerKeyRead;
+
+  /** The highest term of a claim that this node has seen; each claim raises the term. */
+  private long lastClaimTerm;
+
   private Ownership ownership;
   private boolean campaigning;
   private boolean renewing;
@@ -47,6 +52,9 @@
   private long lastRenewalMs;
   private long oneWayDelayMs;
 
+  /** Revision of the last unreadable term that was logged, as a claim may be repeated often. */
+  private long reportedTermRevision;
+
   /**
    * This node's ownership of the workers.
    *
@@ -98,6 +106,7 @@
   private void observe(Optional<String> value, long revision) {
     ownerKeyRead = true;
     owner = value.flatMap(OwnerElection::parse);
+    owner.ifPresent(claim -> lastClaimTerm = Math.max(lastClaimTerm, claim.term()));
     if (ownership != null) {
       boolean replaced = owner.isPresent() && owner.get().term() > ownership.record().term();
       boolean gone = owner.isEmpty() && revision > ownership.revision();
@@ -225,7 +234,8 @@
   }
 
   private void claimOwnership(long leaseId, Optional<StoreItem> lastTerm) {
-    long term = lastTerm.map(item -> Long.parseLong(item.value())).orElse(0L) + 1;
+    // A stored term below that of a known claim was not written by an owner.
+    long term = Math.max(lastTerm.map(this::termOf).orElse(0L), lastClaimTerm) + 1;
     OwnerRecord record = new OwnerRecord(node.name(), node.controlAddress(), term);
     Transaction transaction =
         Transaction.start()
@@ -239,6 +249,7 @@
           campaigning = false;
           if (reply instanceof CommitReply.Committed committed && !resigned) {
             owner = Optional.of(record);
+            lastClaimTerm = Math.max(lastClaimTerm, term);
             ownership = new Ownership(record, leaseId, committed.revision());
             lastRenewalMs = NodeContext.nowMs();
             LOG.infof("event=ownership-gained term=%d revision=%d", term, committed.revision());
@@ -253,6 +264,21 @@
         });
   }
 
+  /**
+   * Returns the term of the last owner. If it is unreadable, returns the revision of its item
+   * instead, which no earlier term exceeds, so that the fencing tokens go on rising.
+   */
+  private long termOf(StoreItem item) {
+    OptionalLong term = StoredTerm.parse(item);
+    if (term.isEmpty() && item.revision() != reportedTermRevision) {
+      reportedTermRevision = item.revision();
+      LOG.errorf(
+          "event=term-unreadable revision=%d length=%d effect=terms go on from the revision",
+          item.revision(), item.value().length());
+    }
+    return term.orElse(item.revision());
+  }
+
   private void retryCampaign() {
     campaigning = false;
     delayedExecutor.schedule(RETRY_MS, this::campaignIfNoOwner);
--- /dev/null
+++ b/src/test/java/org/plantainloom/platform/DamagedRecordTest.java
@@ -0,0 +1,75 @@
+package org.plantainloom.platform;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.plantainloom.platform.NodeFixture.LASTING_JOB;
+import static org.plantainloom.platform.NodeFixture.SHORT_JOB;
+
+import org.plantainloom.platform.NodeFixture.RunningNode;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Tests nodes whose own records in the store were damaged by another writer. */
+public class DamagedRecordTest {
+  private static final String FIRST = "00000000000000aa";
+  private static final String SECOND = "00000000000000bb";
+
+  /** The count of owners. */
+  public static class Term {
+    @DataProvider
+    public static Object[][] damagedTerms() {
+      return new Object[][] {{"{}"}, {"9223372036854775807"}};
+    }
+
+    @Test(dataProvider = "damagedTerms")
+    public void should_elect_an_owner_when_the_term_is_unreadable(String damaged) throws Exception {
+      try (NodeFixture fixture = new NodeFixture()) {
+        // given
+        fixture.platform().overwrite("pl/term", damaged);
+        // when
+        RunningNode node = fixture.startNode("a");
+        node.submit(FIRST, SHORT_JOB);
+        // then
+        node.awaitState(FIRST, "completed");
+      }
+    }
+
+    @Test
+    public void should_raise_the_fencing_token_when_the_term_was_overwritten() throws Exception {
+      try (NodeFixture fixture = new NodeFixture()) {
+        // given
+        RunningNode first = fixture.startNode("a");
+        first.submit(FIRST, LASTING_JOB);
+        NodeFixture.await(() -> fixture.platform().statistics().runningTasks() == 3);
+        long before = Long.parseLong(fixture.platform().storedValue("pl/term"));
+        // when
+        fixture.platform().overwrite("pl/term", "-1");
+        first.close();
+        RunningNode second = fixture.startNode("b");
+        second.submit(SECOND, SHORT_JOB);
+        // then
+        second.awaitState(SECOND, "completed");
+        assertThat(Long.parseLong(fixture.platform().storedValue("pl/term"))).isGreaterThan(before);
+        assertThat(fixture.platform().statistics().overlaps()).isZero();
+      }
+    }
+
+    @Test
+    public void should_raise_the_fencing_token_when_an_old_term_replaces_a_known_one()
+        throws Exception {
+      try (NodeFixture fixture = new NodeFixture()) {
+        // given
+        fixture.platform().overwrite("pl/term", "3");
+        RunningNode first = fixture.startNode("a");
+        NodeFixture.await(() -> fixture.platform().storedValue("pl/term").equals("4"));
+        RunningNode second = fixture.startNode("b");
+        NodeFixture.await(second::knowsOwner);
+        // when
+        fixture.platform().overwrite("pl/term", "1");
+        first.resign();
+        NodeFixture.await(() -> !fixture.platform().storedValue("pl/term").equals("1"));
+        // then
+        assertThat(Long.parseLong(fixture.platform().storedValue("pl/term"))).isGreaterThan(4);
+      }
+    }
+  }
+}
