Claim the owner's key although another writer has overwritten it

Once another writer had put something unreadable into pl/owner, the nodes took the owner for absent, but each claim expected the key to be absent and failed, for ever. An owner whose key was overwritten gave up and could not claim it again either. If the overwriting value was a copy of an older record, the owner stayed, but each of its commits failed, as they require the revision of its own write: no end of a run was stored or acknowledged any more.

A value that is no record of an owner, or whose term is above the revision of its item, is now reported once, and the next claim replaces it on its revision; without a lease nothing else would remove it. A record that is newer than the highest claim seen, but not of a higher term, is treated alike, since each claim raises the term. An owner whose key was overwritten gives up the ownership. It does not go on beside its successor: the claim raises the term, and workers refuse the former one. Not covered: a forged record of a higher term, or an old one that was put back while no node ran that had seen a later claim; both look like an owner.

Stored records are read by Json.readStrictly, which also rejects fractions of whole numbers and text after the end.

--- a/src/main/java/org/plantainloom/protocol/Json.java
+++ b/src/main/java/org/plantainloom/protocol/Json.java
@@ -5,9 +5,11 @@
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.DeserializationContext;
 import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.KeyDeserializer;
 import com.fasterxml.jackson.databind.MapperFeature;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.ObjectReader;
 import com.fasterxml.jackson.databind.SerializerProvider;
 import com.fasterxml.jackson.databind.deser.std.FromStringDeserializer;
 import com.fasterxml.jackson.databind.json.JsonMapper;
@@ -36,6 +38,13 @@
           .serializationInclusion(JsonInclude.Include.NON_ABSENT)
           .build();
 
+  /** Rejects what the lenient reader cuts off: fractions of whole numbers and trailing text. */
+  private static final ObjectReader STRICT_READER =
+      MAPPER
+          .reader()
+          .without(DeserializationFeature.ACCEPT_FLOAT_AS_INT)
+          .with(DeserializationFeature.FAIL_ON_TRAILING_TOKENS);
+
   private Json() {}
 
   /** Returns the JSON of a record. */
@@ -63,16 +72,46 @@
    */
   public static <T> T read(String text, Class<T> type) {
     try {
-      T value = MAPPER.readValue(text, type);
-      if (value == null) {
-        throw MalformedMessageException.of(type, "null", null);
-      }
-      return value;
+      return requirePresent(MAPPER.readValue(text, type), type);
+    } catch (JsonProcessingException e) {
+      throw MalformedMessageException.of(type, e.getOriginalMessage(), e);
+    }
+  }
+
+  /**
+   * Parses the JSON of a stored record, which another writer may have damaged: rejects fractions of
+   * whole numbers and text after the end, too.
+   *
+   * @throws MalformedMessageException if the text is not valid JSON of that type
+   */
+  public static <T> T readStrictly(String text, Class<T> type) {
+    try {
+      return requirePresent(STRICT_READER.forType(type).readValue(text), type);
     } catch (JsonProcessingException e) {
       throw MalformedMessageException.of(type, e.getOriginalMessage(), e);
     }
   }
 
+  /**
+   * Converts a part of a stored record, as {@link #readStrictly(String, Class)} does the whole.
+   *
+   * @throws MalformedMessageException if the part is not valid JSON of that type
+   */
+  public static <T> T readStrictly(JsonNode part, Class<T> type) {
+    try {
+      return requirePresent(STRICT_READER.treeToValue(part, type), type);
+    } catch (JsonProcessingException e) {
+      throw MalformedMessageException.of(type, e.getOriginalMessage(), e);
+    }
+  }
+
+  private static <T> T requirePresent(T value, Class<T> type) {
+    if (value == null) {
+      throw MalformedMessageException.of(type, "null", null);
+    }
+    return value;
+  }
+
   /** Maps the types that JSON represents as strings, both as values and as keys. */
   private static SimpleModule stringTypes() {
     SimpleModule module = new SimpleModule("names");
--- a/src/main/java/org/plantainloom/transport/dispatch/OwnerElection.java
+++ b/src/main/java/org/plantainloom/transport/dispatch/OwnerElection.java
@@ -20,6 +20,10 @@
  * Elects the node that owns the workers. The owner holds a key under a lease; when the key is
  * absent, the first node to write it becomes the owner. The term is stored without a lease, grows
  * with each owner and serves as the fencing token against its predecessors.
+ *
+ * <p>A key that another writer has overwritten is replaced by the next claim: it has no lease that
+ * would remove it. An owner whose key was overwritten gives up the ownership, as it can store no
+ * progress; the next claim raises the term, so that workers refuse its late commands.
  */
 final class OwnerElection implements PrefixWatch.Listener {
   private static final Logger LOG = Logger.getLogger(OwnerElection.class);
@@ -42,9 +46,13 @@
   private Optional<OwnerRecord> owner = Optional.empty();
   private boolean ownerKeyRead;
 
+  /** Revision of an owner key that is not the work of a claim; 0 if there is none. */
+  private long invalidKeyRevision;
+
   /** The highest term of a claim that this node has seen; each claim raises the term. */
   private long lastClaimTerm;
 
+  private long lastClaimRevision;
   private Ownership ownership;
   private boolean campaigning;
   private boolean renewing;
@@ -105,13 +113,16 @@
 
   private void observe(Optional<String> value, long revision) {
     ownerKeyRead = true;
-    owner = value.flatMap(OwnerElection::parse);
-    owner.ifPresent(claim -> lastClaimTerm = Math.max(lastClaimTerm, claim.term()));
+    owner = value.flatMap(text -> readOwner(text, revision));
+    invalidKeyRevision = value.isPresent() && owner.isEmpty() ? revision : 0;
     if (ownership != null) {
       boolean replaced = owner.isPresent() && owner.get().term() > ownership.record().term();
       boolean gone = owner.isEmpty() && revision > ownership.revision();
-      if (replaced || gone) {
-        loseOwnership(replaced ? "replaced by " + owner.get().node() : "key removed");
+      if (replaced) {
+        loseOwnership("replaced by " + owner.get().node());
+      } else if (gone) {
+        // Also if the key was overwritten: this node can store no progress any more.
+        loseOwnership(value.isPresent() ? "key overwritten" : "key removed");
       }
     }
     if (owner.isEmpty()) {
@@ -119,15 +130,31 @@
     }
   }
 
-  private static Optional<OwnerRecord> parse(String text) {
+  /** Returns the owner, or empty if the value of the key is not that of a claim. */
+  private Optional<OwnerRecord> readOwner(String text, long revision) {
     try {
-      return Optional.of(Json.read(text, OwnerRecord.class));
+      OwnerRecord record = StoredOwner.parse(text, revision);
+      if (revision > lastClaimRevision && record.term() <= lastClaimTerm) {
+        throw MalformedMessageException.of(
+            OwnerRecord.class, "an earlier term, " + record.term(), null);
+      }
+      recordClaim(record.term(), revision);
+      return Optional.of(record);
     } catch (MalformedMessageException e) {
-      LOG.warnf("event=owner-unreadable reason=%s", e.getMessage());
+      LOG.errorf(
+          "event=owner-unreadable revision=%d reason=%s effect=the key is claimed anew",
+          revision, e.getMessage());
       return Optional.empty();
     }
   }
 
+  private void recordClaim(long term, long revision) {
+    if (term > lastClaimTerm) {
+      lastClaimTerm = term;
+      lastClaimRevision = revision;
+    }
+  }
+
   /** Renews the lease if that is due. */
   void tick(long nowMs) {
     if (ownership == null || renewing || nowMs - lastRenewalMs < RENEW_INTERVAL_MS) {
@@ -239,7 +266,7 @@
     OwnerRecord record = new OwnerRecord(node.name(), node.controlAddress(), term);
     Transaction transaction =
         Transaction.start()
-            .expectAbsent(StoreKeys.OWNER)
+            .expect(StoreKeys.OWNER, invalidKeyRevision)
             .expect(StoreKeys.TERM, lastTerm.map(StoreItem::revision).orElse(0L))
             .writeLeased(StoreKeys.OWNER, Json.write(record), leaseId)
             .write(StoreKeys.TERM, Long.toString(term));
@@ -247,9 +274,12 @@
         node.store().commit(transaction),
         reply -> {
           campaigning = false;
-          if (reply instanceof CommitReply.Committed committed && !resigned) {
+          // Another writer may have overwritten the key before this reply arrived.
+          if (reply instanceof CommitReply.Committed committed
+              && committed.revision() > invalidKeyRevision
+              && !resigned) {
             owner = Optional.of(record);
-            lastClaimTerm = Math.max(lastClaimTerm, term);
+            recordClaim(term, committed.revision());
             ownership = new Ownership(record, leaseId, committed.revision());
             lastRenewalMs = NodeContext.nowMs();
             LOG.infof("event=ownership-gained term=%d revision=%d", term, committed.revision());
--- a/src/test/java/org/plantainloom/platform/DamagedRecordTest.java
+++ b/src/test/java/org/plantainloom/platform/DamagedRecordTest.java
@@ -13,6 +13,9 @@
   private static final String FIRST = "00000000000000aa";
   private static final String SECOND = "00000000000000bb";
 
+  /** Nested deeper than any parser of the node follows. */
+  private static final String DEEP = "[".repeat(200_000);
+
   /** The count of owners. */
   public static class Term {
     @DataProvider
@@ -72,4 +75,56 @@
       }
     }
   }
+
+  /** The key of the owner. */
+  public static class Owner {
+    @Test
+    public void should_elect_an_owner_when_the_record_of_the_owner_is_unreadable()
+        throws Exception {
+      try (NodeFixture fixture = new NodeFixture()) {
+        // given
+        fixture.platform().overwrite("pl/owner", DEEP);
+        // when
+        RunningNode node = fixture.startNode("a");
+        node.submit(FIRST, SHORT_JOB);
+        // then
+        node.awaitState(FIRST, "completed");
+      }
+    }
+
+    @Test
+    public void should_go_on_when_the_record_of_a_sitting_owner_becomes_unreadable()
+        throws Exception {
+      try (NodeFixture fixture = new NodeFixture()) {
+        // given
+        RunningNode node = fixture.startNode("a");
+        node.submit(FIRST, LASTING_JOB);
+        NodeFixture.await(() -> fixture.platform().statistics().runningTasks() == 3);
+        // when
+        fixture.platform().overwrite("pl/owner", "");
+        node.submit(SECOND, SHORT_JOB);
+        // then
+        node.awaitState(SECOND, "completed");
+        assertThat(fixture.platform().statistics().overlaps()).isZero();
+        assertThat(fixture.platform().statistics().runningTasks()).isEqualTo(3);
+      }
+    }
+
+    @Test
+    public void should_go_on_when_an_old_record_replaces_that_of_the_sitting_owner()
+        throws Exception {
+      try (NodeFixture fixture = new NodeFixture()) {
+        // given
+        RunningNode node = fixture.startNode("a");
+        node.submit(FIRST, LASTING_JOB);
+        NodeFixture.await(() -> fixture.platform().statistics().runningTasks() == 3);
+        // when: the same bytes, but no lease that would ever remove them
+        fixture.platform().overwrite("pl/owner", fixture.platform().storedValue("pl/owner"));
+        node.submit(SECOND, SHORT_JOB);
+        // then
+        node.awaitState(SECOND, "completed");
+        assertThat(fixture.platform().statistics().overlaps()).isZero();
+      }
+    }
+  }
 }
