Take over although the stored list of workers is damaged

After another writer had damaged pl/fleet, each new owner held the ownership without doing anything: Json.read threw in OwnerSession.onFleet, so that no worker was followed and no job restored. One bad row hid all others, and a key that was no task key was left out of what a silent worker may run, so that the task could be started elsewhere beside it.

StoredFleet reads the record row by row. If a row, or all, is unreadable, it is reported once for each takeover, and tasks of inherited jobs wait until the longest lease has passed even if all known workers answer, since a former owner may have started them on a worker that is not known now. New jobs start at once. Until then the list is stored as incomplete, so that an owner that follows within this time waits, too; older releases ignore that field. If one task of a silent worker is unreadable, the worker counts as one that has to answer. Other keys below pl/fleet are not taken for the list any more. A list that another writer removed altogether looks like that of a new cluster and is not noticed.

The limit of amounts moved from PlatformJson to ResourceVector, unchanged.

Evidence: DamagedRecordTest.Fleet against the unchanged code, with waits of 12 s instead of 30: "Expecting value to be true but was false", as the job was not completed. (A row without an address, which is not a case of that test any more, passed there.) The tests of the dispatcher use methods that are new.

--- a/src/main/java/org/plantainloom/coordination/dispatch/WorkerTable.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/WorkerTable.java
@@ -134,9 +134,12 @@
    */
   Optional<List<FleetMember>> unpersisted() {
     boolean allPersisted = workers.values().stream().allMatch(w -> w.persisted);
-    return allPersisted && !hasUnpersistedRemoval
-        ? Optional.empty()
-        : Optional.of(workers.values().stream().map(WorkerState::toFleetMember).toList());
+    return allPersisted && !hasUnpersistedRemoval ? Optional.empty() : Optional.of(members());
+  }
+
+  /** Returns all workers as they are stored for the next owner. */
+  List<FleetMember> members() {
+    return workers.values().stream().map(WorkerState::toFleetMember).toList();
   }
 
   /** Handles a successful write of the list. */
--- a/src/main/java/org/plantainloom/platform/PlatformJson.java
+++ b/src/main/java/org/plantainloom/platform/PlatformJson.java
@@ -14,9 +14,6 @@
 final class PlatformJson {
   private static final ObjectMapper MAPPER = new ObjectMapper();
 
-  /** Bounds amounts so that the sums over the runs of a worker do not overflow. */
-  private static final long MAX_AMOUNT = 100_000_000;
-
   private PlatformJson() {}
 
   static ObjectNode object() {
@@ -51,7 +48,7 @@
   }
 
   private static boolean isAmount(long value) {
-    return value >= 0 && value <= MAX_AMOUNT;
+    return value >= 0 && value <= ResourceVector.MAX_AMOUNT;
   }
 
   static List<String> stringList(JsonNode array) {
--- a/src/main/java/org/plantainloom/state/ResourceVector.java
+++ b/src/main/java/org/plantainloom/state/ResourceVector.java
@@ -8,6 +8,9 @@
  * @param accelerators number of accelerators
  */
 public record ResourceVector(int cpuMillis, int memoryMb, int accelerators) {
+  /** Largest amount of a worker or task, so that the sums over a worker's runs do not overflow. */
+  public static final int MAX_AMOUNT = 100_000_000;
+
   /** No resources. */
   public static final ResourceVector ZERO = new ResourceVector(0, 0, 0);
 
@@ -30,6 +33,11 @@
         && accelerators <= capacity.accelerators;
   }
 
+  /** Returns whether a worker may have, or a task may need, this amount. */
+  public boolean isWithinLimits() {
+    return isNonNegative() && fitsIn(new ResourceVector(MAX_AMOUNT, MAX_AMOUNT, MAX_AMOUNT));
+  }
+
   /** Returns whether no component is negative. */
   public boolean isNonNegative() {
     return cpuMillis >= 0 && memoryMb >= 0 && accelerators >= 0;
--- a/src/main/java/org/plantainloom/transport/dispatch/FleetRecord.java
+++ b/src/main/java/org/plantainloom/transport/dispatch/FleetRecord.java
@@ -7,16 +7,16 @@
 
 /**
  * The workers on which an owner may have started tasks, as stored. A later owner asks each of them
- * what it runs, including those whose registration has expired.
+ * what it runs, including those whose registration has expired; {@link StoredFleet} reads the
+ * record.
  *
  * @param workers the workers
  * @param silentTasks for each worker that was not responding when the record was written, all tasks
  *     that it may be running; nothing was started there afterwards
+ * @param incomplete whether previous owners may have started tasks on other workers, too, because
+ *     their record was damaged; older releases do not write this field
  */
 record FleetRecord(
     List<WorkerRegistration> workers,
-    @JsonInclude(JsonInclude.Include.NON_EMPTY) Map<String, List<String>> silentTasks) {
-  FleetRecord {
-    silentTasks = silentTasks == null ? Map.of() : silentTasks;
-  }
-}
+    @JsonInclude(JsonInclude.Include.NON_EMPTY) Map<String, List<String>> silentTasks,
+    @JsonInclude(JsonInclude.Include.NON_DEFAULT) boolean incomplete) {}
--- a/src/main/java/org/plantainloom/transport/dispatch/OwnerSession.java
+++ b/src/main/java/org/plantainloom/transport/dispatch/OwnerSession.java
@@ -15,13 +15,11 @@
 import org.plantainloom.coordination.dispatch.DecisionLog;
 import org.plantainloom.coordination.dispatch.DispatchCommand;
 import org.plantainloom.coordination.dispatch.Dispatcher;
-import org.plantainloom.coordination.dispatch.FleetMember;
 import org.plantainloom.protocol.Json;
 import org.plantainloom.protocol.MalformedMessageException;
 import org.plantainloom.state.job.JobProgress;
 import org.plantainloom.state.job.JobSpec;
 import org.plantainloom.state.job.JobStatus;
-import org.plantainloom.state.job.TaskKey;
 import org.plantainloom.state.job.WorkerRegistration;
 import org.plantainloom.state.store.ReadReply;
 import org.plantainloom.state.store.StoreEvent;
@@ -132,14 +130,9 @@
   }
 
   private void onFleet(ReadReply.Found fleet) {
-    long now = NodeContext.nowMs();
-    for (StoreItem item : fleet.items()) {
-      FleetRecord record = Json.read(item.value(), FleetRecord.class);
-      for (WorkerRegistration worker : record.workers()) {
-        dispatcher.workerInherited(new FleetMember(worker, silentTasks(record, worker)), now);
-      }
-      fleetSize += record.workers().size();
-    }
+    fleet.items().stream()
+        .filter(item -> item.key().equals(StoreKeys.FLEET))
+        .forEach(this::inheritFleet);
     fleetLoaded = true;
     watches.add(
         new PrefixWatch(
@@ -153,10 +146,18 @@
     startWhenLoaded();
   }
 
-  private static Optional<List<TaskKey>> silentTasks(
-      FleetRecord record, WorkerRegistration worker) {
-    return Optional.ofNullable(record.silentTasks().get(worker.id()))
-        .map(keys -> keys.stream().map(TaskKey::parse).flatMap(Optional::stream).toList());
+  private void inheritFleet(StoreItem item) {
+    long now = NodeContext.nowMs();
+    StoredFleet fleet = StoredFleet.parse(item.value());
+    fleet.members().forEach(member -> dispatcher.workerInherited(member, now));
+    fleetSize = fleet.members().size();
+    if (fleet.damage().isPresent()) {
+      LOG.errorf(
+          "event=fleet-unreadable revision=%d workers=%d reason=%s effect=tasks of inherited jobs"
+              + " wait for the longest lease",
+          item.revision(), fleetSize, fleet.damage().get());
+      dispatcher.fleetIncomplete();
+    }
   }
 
   private void startWhenLoaded() {
--- a/src/main/java/org/plantainloom/transport/dispatch/ProgressWriter.java
+++ b/src/main/java/org/plantainloom/transport/dispatch/ProgressWriter.java
@@ -104,11 +104,12 @@
                       member.entry().id(), keys.stream().map(TaskKey::toString).toList()));
     }
     List<WorkerRegistration> workers = fleet.stream().map(FleetMember::entry).toList();
+    boolean incomplete = dispatcher.isFleetIncomplete();
     commit(
         ownerTransaction()
-            .write(StoreKeys.FLEET, Json.write(new FleetRecord(workers, silentTasks))),
+            .write(StoreKeys.FLEET, Json.write(new FleetRecord(workers, silentTasks, incomplete))),
         revision -> {
-          dispatcher.fleetPersisted(fleet);
+          dispatcher.fleetPersisted(fleet, incomplete);
           LOG.infof(
               "event=fleet-persisted workers=%d silent=%d revision=%d",
               fleet.size(), silentTasks.size(), revision);
--- a/src/test/java/org/plantainloom/coordination/dispatch/DispatcherSimulation.java
+++ b/src/test/java/org/plantainloom/coordination/dispatch/DispatcherSimulation.java
@@ -148,7 +148,7 @@
         .ifPresent(
             fleet -> {
               persistedFleet = fleet;
-              dispatcher.fleetPersisted(fleet);
+              dispatcher.fleetPersisted(fleet, dispatcher.isFleetIncomplete());
             });
   }
 
--- a/src/test/java/org/plantainloom/coordination/dispatch/HandoverSimulation.java
+++ b/src/test/java/org/plantainloom/coordination/dispatch/HandoverSimulation.java
@@ -249,7 +249,7 @@
           .ifPresent(
               fleet -> {
                 storedFleet = fleet;
-                dispatcher.fleetPersisted(fleet);
+                dispatcher.fleetPersisted(fleet, dispatcher.isFleetIncomplete());
               });
       dispatcher
           .unpersistedProgress()
--- a/src/test/java/org/plantainloom/coordination/dispatch/TakeoverTest.java
+++ b/src/test/java/org/plantainloom/coordination/dispatch/TakeoverTest.java
@@ -5,6 +5,7 @@
 import static org.plantainloom.coordination.dispatch.DispatcherSimulation.serving;
 import static org.plantainloom.coordination.dispatch.DispatcherSimulation.tasks;
 
+import java.util.List;
 import org.plantainloom.state.job.JobProgress;
 import org.plantainloom.state.job.JobSpec;
 import org.plantainloom.state.job.JobStatus;
@@ -244,4 +245,65 @@
     // then
     assertThat(simulation.status(ID)).isEqualTo(JobStatus.COMPLETED);
   }
+
+  /** A stored list of workers that was not readable as a whole. */
+  public static class IncompleteFleet {
+    private static final String NEW_ID = "00000000000000bb";
+
+    private static DispatcherSimulation takeOverIncompleteFleet() {
+      DispatcherSimulation simulation = new DispatcherSimulation(2, 8).run(100);
+      takeOver(simulation, job(ID, "urgent", tasks(1, 1_000)));
+      simulation.dispatcher.fleetIncomplete();
+      return simulation;
+    }
+
+    @Test
+    public void should_wait_for_the_leases_of_unknown_workers_although_all_known_ones_answer() {
+      // given
+      DispatcherSimulation simulation = takeOverIncompleteFleet();
+      // when: the longest lease of a previous owner may still be valid
+      simulation.run(DispatcherSimulation.MAX_LEASE_MS);
+      // then
+      assertThat(simulation.startCount(FIRST)).isZero();
+      // and the task starts after the lease must have expired
+      simulation.run(4_000);
+      assertThat(simulation.startCount(FIRST)).isEqualTo(1);
+    }
+
+    @Test
+    public void should_start_new_jobs_at_once() {
+      // given
+      DispatcherSimulation simulation = takeOverIncompleteFleet();
+      // when
+      simulation.submit(job(NEW_ID, "urgent", tasks(1, 1_000))).run(1_000);
+      // then
+      assertThat(simulation.status(NEW_ID)).isEqualTo(JobStatus.COMPLETED);
+    }
+
+    @Test
+    public void should_store_the_list_as_incomplete_until_the_leases_have_expired() {
+      // given
+      DispatcherSimulation simulation = takeOverIncompleteFleet();
+      // when
+      simulation.run(1_000);
+      // then: the next owner has to wait as well
+      assertThat(simulation.dispatcher.isFleetIncomplete()).isTrue();
+      // and not any more later, although the known workers have not changed
+      simulation.run(DispatcherSimulation.MAX_LEASE_MS + 4_000);
+      assertThat(simulation.dispatcher.isFleetIncomplete()).isFalse();
+      assertThat(simulation.dispatcher.unpersistedFleet()).isEmpty();
+    }
+
+    @Test
+    public void should_store_the_whole_list_once_the_leases_have_expired() {
+      // given
+      DispatcherSimulation simulation = takeOverIncompleteFleet();
+      simulation.run(DispatcherSimulation.MAX_LEASE_MS + 4_000);
+      // when: a write from before was still stored as incomplete
+      simulation.dispatcher.fleetPersisted(
+          simulation.dispatcher.unpersistedFleet().orElse(List.of()), true);
+      // then
+      assertThat(simulation.dispatcher.unpersistedFleet().orElseThrow()).hasSize(2);
+    }
+  }
 }
--- a/src/test/java/org/plantainloom/platform/DamagedRecordTest.java
+++ b/src/test/java/org/plantainloom/platform/DamagedRecordTest.java
@@ -127,4 +127,26 @@
       }
     }
   }
+
+  /** The workers of the previous owner. */
+  public static class Fleet {
+    @Test
+    public void should_take_over_when_the_fleet_is_unreadable() throws Exception {
+      try (NodeFixture fixture = new NodeFixture()) {
+        // given
+        RunningNode first = fixture.startNode("a");
+        first.submit(FIRST, LASTING_JOB);
+        NodeFixture.await(() -> fixture.platform().statistics().runningTasks() == 3);
+        // when
+        first.close();
+        fixture.platform().overwrite("pl/fleet", "{\"workers\":null}");
+        RunningNode second = fixture.startNode("b");
+        second.submit(SECOND, SHORT_JOB);
+        // then
+        second.awaitState(SECOND, "completed");
+        assertThat(fixture.platform().statistics().overlaps()).isZero();
+        assertThat(fixture.platform().statistics().runningTasks()).isEqualTo(3);
+      }
+    }
+  }
 }
