Go on with the other jobs when the record of one is damaged

After another writer had damaged one pl/job/ID, no task of any job started any more. Missing fields become null when a record is read, so the error came later: without its phases a job made each new owner fail before it had restored the others, and without the resources of a phase it failed every round of decisions (NullPointerException in TaskStarter.start). An impossible number of tasks would have used up the memory. Callers were told that such a job is queued, and a submission under an id whose key holds something unreadable was answered as accepted.

StoredJob accepts only records that an accepted job can have: the limits of submissions (moved from JobJson to JobLimits, unchanged), no missing values, the id of its key. The owner reports any other one once and goes on without it. If it could not be restored, it is not taken for a new job either when its key changes later, as a former owner may have run its tasks. Its status is answered by 503; a submission under its id by 504, as the job may have been accepted before the damage, or never. Keys below the prefix that do not end in a job's id are ignored; before, pl/job/x/ID was read as job ID. A stored status is answered only if its job is readable, which takes a second read of the store where the owner does not answer.

--- a/src/main/java/org/plantainloom/platform/JobJson.java
+++ b/src/main/java/org/plantainloom/platform/JobJson.java
@@ -1,26 +1,17 @@
 package org.plantainloom.platform;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import org.plantainloom.state.ResourceVector;
+import org.plantainloom.state.job.JobLimits;
 import org.plantainloom.state.job.JobSpec;
 import org.plantainloom.state.job.JobStatus;
 import org.plantainloom.state.job.PhaseSpec;
 
 /** JSON of the jobs that callers submit and of the replies to their queries. */
 final class JobJson {
-  /**
-   * Tasks of all occurrences of a job above which it is rejected. The owner keeps each task in
-   * memory, so one absurd job would otherwise take down each owner that reads it.
-   */
-  private static final long MAX_JOB_TASKS = 20_000;
-
-  /** Longest estimate or period; longer ones would overflow sums of times. */
-  private static final long MAX_DURATION_MS = Duration.ofDays(365).toMillis();
-
   private JobJson() {}
 
   /** Parses the body of a submission; empty if it is not a valid job. */
@@ -51,19 +42,7 @@
             body.path("start-at-ms").asLong(),
             body.path("period-ms").asLong(),
             body.path("repeat-count").asInt());
-    return isWithinLimits(spec) ? Optional.of(spec) : Optional.empty();
-  }
-
-  private static boolean isWithinLimits(JobSpec spec) {
-    long tasks = spec.phases().stream().mapToLong(PhaseSpec::count).sum() * spec.occurrences();
-    return tasks <= MAX_JOB_TASKS
-        && spec.startAtMs() >= 0
-        && spec.startAtMs() <= spec.acceptedMs() + MAX_DURATION_MS
-        && isDuration(spec.periodMs());
-  }
-
-  private static boolean isDuration(long ms) {
-    return ms >= 0 && ms <= MAX_DURATION_MS;
+    return JobLimits.areMetBy(spec) ? Optional.of(spec) : Optional.empty();
   }
 
   /** Parses a phase; empty if it is invalid or depends on itself or on a later phase. */
@@ -80,8 +59,8 @@
     Optional<ResourceVector> need = PlatformJson.resources(node);
     if (!node.isObject()
         || count < 1
-        || count > MAX_JOB_TASKS
-        || !isDuration(estimateMs)
+        || count > JobLimits.MAX_TASKS
+        || !JobLimits.isDuration(estimateMs)
         || need.isEmpty()) {
       return Optional.empty();
     }
--- a/src/main/java/org/plantainloom/transport/dispatch/JobRegistry.java
+++ b/src/main/java/org/plantainloom/transport/dispatch/JobRegistry.java
@@ -2,10 +2,12 @@
 
 import com.codahale.metrics.MetricRegistry;
 import com.codahale.metrics.Timer;
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import org.jboss.logging.Logger;
 import org.plantainloom.protocol.Json;
+import org.plantainloom.protocol.MalformedMessageException;
 import org.plantainloom.state.job.JobProgress;
 import org.plantainloom.state.job.JobSpec;
 import org.plantainloom.state.job.JobStatus;
@@ -54,8 +56,8 @@
               timing.stop();
               if (reply instanceof CommitReply.Committed committed) {
                 return succeed(spec.id(), "accepted", "revision=" + committed.revision());
-              } else if (reply instanceof CommitReply.Conflict) {
-                return succeed(spec.id(), "accepted", "repeated=true");
+              } else if (reply instanceof CommitReply.Conflict conflict) {
+                return acceptIfStored(spec, conflict.current(), "repeated=true");
               } else if (reply instanceof CommitReply.Refused refused) {
                 return fail(spec.id(), JobReply.UNAVAILABLE, refused.reason());
               } else {
@@ -70,11 +72,30 @@
         .readBack(StoreKeys.job(spec.id()))
         .thenCompose(
             read ->
-                read instanceof ReadReply.Found found && !found.items().isEmpty()
-                    ? succeed(spec.id(), "accepted", "readBack=true")
+                read instanceof ReadReply.Found found
+                    ? acceptIfStored(spec, found.items(), "readBack=true")
                     : fail(spec.id(), JobReply.UNKNOWN, "no reply from the store"));
   }
 
+  /**
+   * Replies to a submission by what its key holds. If that is not readable, the job may have been
+   * accepted before the damage, or never.
+   */
+  private CompletableFuture<JobReply> acceptIfStored(
+      JobSpec spec, List<StoreItem> current, String detail) {
+    Optional<StoreItem> stored =
+        current.stream().filter(item -> item.key().equals(StoreKeys.job(spec.id()))).findFirst();
+    if (stored.isEmpty()) {
+      return fail(spec.id(), JobReply.UNKNOWN, "no reply from the store");
+    }
+    try {
+      StoredJob.parse(spec.id(), stored.get().value());
+    } catch (MalformedMessageException e) {
+      return fail(spec.id(), JobReply.UNKNOWN, "submit: " + e.getMessage());
+    }
+    return succeed(spec.id(), "accepted", detail);
+  }
+
   CompletableFuture<JobReply> cancel(String jobId) {
     return store
         .read(StoreKeys.job(jobId))
@@ -119,14 +140,12 @@
               if (!(read instanceof ReadReply.Found found)) {
                 return fail(jobId, JobReply.UNAVAILABLE, "status: " + read);
               }
-              return found.items().isEmpty()
-                  ? statusWithoutProgress(jobId)
-                  : statusReply(
-                      Json.read(found.items().get(0).value(), JobProgress.class).status());
+              return status(jobId, found.items().stream().findFirst().map(StoreItem::value));
             });
   }
 
-  private CompletableFuture<JobReply> statusWithoutProgress(String jobId) {
+  /** Reads the job, too, as no status can be told of an unreadable one. */
+  private CompletableFuture<JobReply> status(String jobId, Optional<String> progress) {
     return store
         .read(StoreKeys.job(jobId))
         .thenCompose(
@@ -134,12 +153,27 @@
               if (!(read instanceof ReadReply.Found found)) {
                 return fail(jobId, JobReply.UNAVAILABLE, "status: " + read);
               }
-              return found.items().isEmpty()
-                  ? fail(jobId, JobReply.NO_SUCH_JOB, "status: the store has no such job")
-                  : statusReply(JobStatus.QUEUED);
+              if (found.items().isEmpty()) {
+                return progress.isEmpty()
+                    ? fail(jobId, JobReply.NO_SUCH_JOB, "status: the store has no such job")
+                    : fail(jobId, JobReply.UNAVAILABLE, "status: progress without a job");
+              }
+              return status(jobId, found.items().get(0).value(), progress);
             });
   }
 
+  private CompletableFuture<JobReply> status(String jobId, String job, Optional<String> progress) {
+    try {
+      StoredJob.parse(jobId, job);
+      return statusReply(
+          progress
+              .map(text -> Json.read(text, JobProgress.class).status())
+              .orElse(JobStatus.QUEUED));
+    } catch (MalformedMessageException e) {
+      return fail(jobId, JobReply.UNAVAILABLE, "status: " + e.getMessage());
+    }
+  }
+
   private static CompletableFuture<JobReply> statusReply(JobStatus status) {
     return CompletableFuture.completedFuture(JobReply.withStatus(status));
   }
--- a/src/main/java/org/plantainloom/transport/dispatch/OwnerSession.java
+++ b/src/main/java/org/plantainloom/transport/dispatch/OwnerSession.java
@@ -58,6 +58,13 @@
   private final Timer startReplyTimer;
   private Optional<ReadReply.Found> storedJobs = Optional.empty();
   private Optional<ReadReply.Found> storedProgress = Optional.empty();
+
+  /**
+   * Jobs that could not be restored. Former owners may have run their tasks, so that they must not
+   * be taken for new jobs when their keys change.
+   */
+  private final Set<String> unrestoredJobs = new HashSet<>();
+
   private final List<Runnable> deferredReplies = new ArrayList<>();
   private int fleetSize;
   private boolean fleetLoaded;
@@ -183,33 +190,38 @@
   private void restoreJobs(List<StoreItem> jobs, List<StoreItem> progress) {
     long now = NodeContext.nowMs();
     Map<String, StoreItem> progressById = new HashMap<>();
-    progress.forEach(item -> progressById.put(StoreKeys.jobId(item.key()), item));
+    progress.forEach(
+        item -> StoreKeys.jobId(item.key()).ifPresent(id -> progressById.put(id, item)));
     Set<String> cancelled = new HashSet<>();
     for (StoreItem item : jobs) {
-      if (StoreKeys.isCancel(item.key())) {
-        cancelled.add(StoreKeys.jobId(item.key()));
+      Optional<String> id = StoreKeys.jobId(item.key());
+      if (id.isEmpty()) {
+        LOG.warnf("event=foreign-key key=%s", item.key());
+      } else if (StoreKeys.isCancel(item.key())) {
+        cancelled.add(id.get());
       } else {
-        parseJob(item.value()).ifPresent(spec -> restore(spec, progressById.get(spec.id()), now));
+        Optional<StoreItem> itsProgress = Optional.ofNullable(progressById.get(id.get()));
+        readJob(id.get(), item.value())
+            .ifPresentOrElse(
+                spec -> restore(spec, itsProgress, now), () -> unrestoredJobs.add(id.get()));
       }
     }
     cancelled.forEach(id -> dispatcher.jobCancelled(id, now));
     dispatcher.jobsRestored();
   }
 
-  private void restore(JobSpec spec, StoreItem progress, long now) {
-    if (progress == null) {
-      dispatcher.restoreJob(spec, JobProgress.NONE, 0, now);
-    } else {
-      dispatcher.restoreJob(
-          spec, Json.read(progress.value(), JobProgress.class), progress.revision(), now);
-    }
+  private void restore(JobSpec spec, Optional<StoreItem> stored, long now) {
+    long revision = stored.map(StoreItem::revision).orElse(0L);
+    JobProgress progress =
+        stored.map(item -> Json.read(item.value(), JobProgress.class)).orElse(JobProgress.NONE);
+    dispatcher.restoreJob(spec, progress, revision, now);
   }
 
-  private static Optional<JobSpec> parseJob(String text) {
+  private static Optional<JobSpec> readJob(String id, String text) {
     try {
-      return Optional.of(Json.read(text, JobSpec.class));
+      return Optional.of(StoredJob.parse(id, text));
     } catch (MalformedMessageException e) {
-      LOG.errorf("event=job-unreadable reason=%s", e.getMessage());
+      LOG.errorf("event=job-unreadable id=%s reason=%s", id, e.getMessage());
       return Optional.empty();
     }
   }
@@ -226,11 +238,14 @@
     }
 
     private void apply(String key, String value) {
-      long now = NodeContext.nowMs();
-      if (StoreKeys.isCancel(key)) {
-        dispatcher.jobCancelled(StoreKeys.jobId(key), now);
-      } else {
-        parseJob(value).ifPresent(spec -> dispatcher.jobSubmitted(spec, now));
+      Optional<String> id = StoreKeys.jobId(key);
+      if (id.isEmpty()) {
+        LOG.warnf("event=foreign-key key=%s", key);
+      } else if (StoreKeys.isCancel(key)) {
+        dispatcher.jobCancelled(id.get(), NodeContext.nowMs());
+      } else if (!unrestoredJobs.contains(id.get())) {
+        readJob(id.get(), value)
+            .ifPresent(spec -> dispatcher.jobSubmitted(spec, NodeContext.nowMs()));
       }
       scheduleRound();
     }
--- a/src/main/java/org/plantainloom/transport/dispatch/StoreKeys.java
+++ b/src/main/java/org/plantainloom/transport/dispatch/StoreKeys.java
@@ -1,5 +1,8 @@
 package org.plantainloom.transport.dispatch;
 
+import java.util.Optional;
+import java.util.regex.Pattern;
+
 /** Keys of the nodes' own data in the store. */
 final class StoreKeys {
   static final String PREFIX = "pl/";
@@ -12,6 +15,7 @@
 
   static final String PROGRESS = PREFIX + "progress/";
   private static final String CANCEL_SUFFIX = ".cancel";
+  private static final Pattern JOB_ID = Pattern.compile("[0-9a-f]{16}");
 
   private StoreKeys() {}
 
@@ -31,8 +35,17 @@
     return key.endsWith(CANCEL_SUFFIX);
   }
 
-  static String jobId(String key) {
-    String id = key.substring(key.lastIndexOf('/') + 1);
-    return isCancel(key) ? id.substring(0, id.length() - CANCEL_SUFFIX.length()) : id;
+  /**
+   * Returns the job to which the key of a job, a cancellation or a progress belongs; empty if
+   * another writer has put something else below the prefix.
+   */
+  static Optional<String> jobId(String key) {
+    String prefix = key.startsWith(JOBS) ? JOBS : PROGRESS;
+    String suffix = key.startsWith(JOBS) && isCancel(key) ? CANCEL_SUFFIX : "";
+    if (!key.startsWith(prefix)) {
+      return Optional.empty();
+    }
+    String id = key.substring(prefix.length(), key.length() - suffix.length());
+    return JOB_ID.matcher(id).matches() ? Optional.of(id) : Optional.empty();
   }
 }
--- a/src/test/java/org/plantainloom/platform/DamagedRecordTest.java
+++ b/src/test/java/org/plantainloom/platform/DamagedRecordTest.java
@@ -12,6 +12,7 @@
 public class DamagedRecordTest {
   private static final String FIRST = "00000000000000aa";
   private static final String SECOND = "00000000000000bb";
+  private static final String DAMAGED = "00000000000000cc";
 
   /** Nested deeper than any parser of the node follows. */
   private static final String DEEP = "[".repeat(200_000);
@@ -149,4 +150,81 @@
       }
     }
   }
+
+  /** Accepted jobs. */
+  public static class Jobs {
+    private static final int SUBMISSIONS = 200;
+
+    private static final String WITHOUT_NEED =
+        "{\"id\":\"00000000000000cc\",\"queue\":\"queue\",\"payload\":\"\","
+            + "\"phases\":[{\"count\":1,\"after\":[],\"requiredLabel\":\"\","
+            + "\"preferredRack\":\"\",\"image\":\"\"}]}";
+
+    @Test
+    public void should_run_the_other_jobs_when_a_new_one_is_unreadable() throws Exception {
+      try (NodeFixture fixture = new NodeFixture()) {
+        // given
+        RunningNode node = fixture.startNode("a");
+        node.submit(FIRST, SHORT_JOB);
+        node.awaitState(FIRST, "completed");
+        // when
+        fixture.platform().overwrite("pl/job/" + DAMAGED, WITHOUT_NEED);
+        node.submit(SECOND, SHORT_JOB);
+        // then
+        node.awaitState(SECOND, "completed");
+        assertThat(node.statusCode(DAMAGED)).isEqualTo(503);
+      }
+    }
+
+    @Test
+    public void should_take_over_when_a_job_lacks_its_phases() throws Exception {
+      try (NodeFixture fixture = new NodeFixture()) {
+        // given
+        fixture
+            .platform()
+            .overwrite("pl/job/" + DAMAGED, "{\"id\":\"" + DAMAGED + "\",\"queue\":\"queue\"}");
+        // when
+        RunningNode node = fixture.startNode("a");
+        node.submit(SECOND, SHORT_JOB);
+        // then
+        node.awaitState(SECOND, "completed");
+        assertThat(node.statusCode(DAMAGED)).isEqualTo(503);
+      }
+    }
+
+    @Test
+    public void should_not_accept_a_job_whose_key_holds_something_unreadable() throws Exception {
+      try (NodeFixture fixture = new NodeFixture()) {
+        // given
+        RunningNode node = fixture.startNode("a");
+        node.submit(FIRST, SHORT_JOB);
+        // when
+        fixture.platform().overwrite("pl/job/" + DAMAGED, "{}");
+        // then: it may have been accepted before the damage, so it is not refused either
+        assertThat(node.submitOnce(DAMAGED, SHORT_JOB)).isEqualTo(504);
+      }
+    }
+
+    @Test
+    public void should_be_able_to_read_each_job_that_was_accepted() throws Exception {
+      try (NodeFixture fixture = new NodeFixture()) {
+        // given
+        RunningNode node = fixture.startNode("a");
+        node.submit(FIRST, SHORT_JOB);
+        MessageMutator mutator = new MessageMutator(8);
+        int accepted = 0;
+        for (int i = 0; i < SUBMISSIONS; i++) {
+          // when
+          String id = String.format("%016x", i);
+          String job = mutator.mutate(SHORT_JOB);
+          // then
+          if (node.submitOnce(id, job) == 200) {
+            accepted++;
+            NodeFixture.await(() -> node.statusCode(id) == 200);
+          }
+        }
+        assertThat(accepted).isPositive();
+      }
+    }
+  }
 }
--- /dev/null
+++ b/src/test/java/org/plantainloom/transport/dispatch/StoredJobTest.java
@@ -0,0 +1,125 @@
+package org.plantainloom.transport.dispatch;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import java.util.List;
+import org.plantainloom.coordination.dispatch.DecisionLog;
+import org.plantainloom.coordination.dispatch.DispatchPolicy;
+import org.plantainloom.coordination.dispatch.Dispatcher;
+import org.plantainloom.platform.MessageMutator;
+import org.plantainloom.protocol.Json;
+import org.plantainloom.protocol.MalformedMessageException;
+import org.plantainloom.state.ResourceVector;
+import org.plantainloom.state.job.JobProgress;
+import org.plantainloom.state.job.JobSpec;
+import org.plantainloom.state.job.PhaseSpec;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Tests which values are taken for the records of a job. */
+public class StoredJobTest {
+  private static final int MESSAGES = 4_000;
+  private static final String ID = "00000000000000aa";
+
+  private static final JobSpec JOB =
+      new JobSpec(ID, "q", "text", List.of(phase(9), phase(4, 0)), 1_000, 2_000, 300, 3);
+
+  private static PhaseSpec phase(int count, Integer... after) {
+    return new PhaseSpec(
+        count,
+        new ResourceVector(500, 64, 0),
+        900,
+        List.of(after),
+        false,
+        false,
+        false,
+        "",
+        "",
+        0,
+        false,
+        false,
+        "image",
+        0,
+        false,
+        -1);
+  }
+
+  private static String damaged(Object record, String part, String replacement) {
+    String text = Json.write(record);
+    assertThat(text).contains(part);
+    return text.replace(part, replacement);
+  }
+
+  /** A new owner, to which records are passed as after a takeover. */
+  private static Dispatcher dispatcher() {
+    DecisionLog log = (event, subject, detail) -> {};
+    return new Dispatcher(2, DispatchPolicy.of(6_000, 400), log, 1_000);
+  }
+
+  /** Records of accepted jobs. */
+  public static class Jobs {
+    @Test
+    public void should_read_an_intact_job() {
+      assertThat(StoredJob.parse(ID, Json.write(JOB))).isEqualTo(JOB);
+    }
+
+    @DataProvider
+    public static Object[][] damagedJobs() {
+      return new Object[][] {
+        {""},
+        {"null"},
+        {"{}"},
+        {Json.write(JOB) + "}"},
+        {"[".repeat(200_000)},
+        {"{\"phases\":" + "[".repeat(200_000)},
+        {damaged(JOB, ID, "00000000000000bb")},
+        {damaged(JOB, "\"q\"", "null")},
+        {damaged(JOB, "\"text\"", "null")},
+        {damaged(JOB, "\"phases\"", "\"phase\"")},
+        {damaged(JOB, "\"need\"", "\"needs\"")},
+        {damaged(JOB, "\"after\":[0]", "\"after\":null")},
+        {damaged(JOB, "\"after\":[0]", "\"after\":[null]")},
+        {damaged(JOB, "\"after\":[0]", "\"after\":[1]")},
+        {damaged(JOB, "\"after\":[0]", "\"after\":[-1]")},
+        {damaged(JOB, "\"image\":\"image\"", "\"image\":null")},
+        {damaged(JOB, "\"requiredLabel\":\"\"", "\"requiredLabel\":null")},
+        {damaged(JOB, "\"preferredRack\":\"\"", "\"preferredRack\":null")},
+        {damaged(JOB, "\"count\":9", "\"count\":0")},
+        {damaged(JOB, "\"count\":9", "\"count\":9.5")},
+        {damaged(JOB, "\"count\":9", "\"count\":2147483647")},
+        {damaged(JOB, "\"count\":9", "\"count\":2147483648")},
+        {damaged(JOB, "\"cpuMillis\":500", "\"cpuMillis\":-500")},
+        {damaged(JOB, "\"repeatCount\":3", "\"repeatCount\":2147483647")},
+        {damaged(JOB, "\"periodMs\":300", "\"periodMs\":9223372036854775807")},
+        {damaged(JOB, "\"acceptedMs\":1000", "\"acceptedMs\":-1")}
+      };
+    }
+
+    @Test(dataProvider = "damagedJobs")
+    public void should_not_read_a_damaged_job(String text) {
+      assertThatThrownBy(() -> StoredJob.parse(ID, text))
+          .isInstanceOf(MalformedMessageException.class);
+    }
+
+    @Test
+    public void should_read_only_jobs_that_can_be_scheduled() {
+      // given
+      MessageMutator mutator = new MessageMutator(6);
+      for (int i = 0; i < MESSAGES; i++) {
+        String text = mutator.mutate(Json.write(JOB));
+        JobSpec job;
+        try {
+          job = StoredJob.parse(ID, text);
+        } catch (MalformedMessageException e) {
+          continue;
+        }
+        // when
+        Dispatcher dispatcher = dispatcher();
+        dispatcher.restoreJob(job, JobProgress.NONE, 0, 1_000);
+        // then: no error
+        assertThat(dispatcher.decide(20_000, 1_000_000)).as(text).isEmpty();
+      }
+    }
+  }
+}
