Restore the other jobs when the progress of one is damaged

After another writer had damaged one pl/progress/ID, each new owner held the ownership without doing anything: restoring the job threw, so no job of any caller was restored, and no worker's reply was handled. JobRegistry.status threw as well, which callers saw as an error 500 or no reply.

StoredProgress accepts only progress that the job can have: no missing values, no task, index or phase that it lacks, bits in hexadecimal. An owner that finds other progress reports it once and restores the other jobs. Nothing of the job itself runs any more, as a task whose end was acknowledged might run again. What still runs of it is stopped: its end could not be stored, and as workers are acknowledged all ends up to a number, keeping that one would keep back the ends of all other jobs there. The status is answered by 503, not made up, also after a cancellation; who repairs the record has to do so before the next takeover or to remove the job. A job whose phases all last goes on instead: its tasks never finish, and its cancellation has a key of its own. Its checkpoints are lost, and its record is replaced with the next change.

That callers saw an error 500 was read from the code, not measured.

--- a/src/main/java/org/plantainloom/state/job/JobSpec.java
+++ b/src/main/java/org/plantainloom/state/job/JobSpec.java
@@ -30,6 +30,17 @@
     return Math.max(1, repeatCount);
   }
 
+  /** Returns whether a key is that of one of the job's tasks. */
+  public boolean hasTask(TaskKey key) {
+    return key.jobId().equals(id)
+        && key.occurrence() >= 0
+        && key.occurrence() < occurrences()
+        && key.phase() >= 0
+        && key.phase() < phases.size()
+        && key.index() >= 0
+        && key.index() < phases.get(key.phase()).count();
+  }
+
   /** Returns when an occurrence is due, in milliseconds since the epoch; 0 for immediately. */
   public long dueMs(int occurrence) {
     return repeatCount == 0 ? 0 : startAtMs + occurrence * periodMs;
--- a/src/main/java/org/plantainloom/transport/dispatch/JobRegistry.java
+++ b/src/main/java/org/plantainloom/transport/dispatch/JobRegistry.java
@@ -8,7 +8,6 @@
 import org.jboss.logging.Logger;
 import org.plantainloom.protocol.Json;
 import org.plantainloom.protocol.MalformedMessageException;
-import org.plantainloom.state.job.JobProgress;
 import org.plantainloom.state.job.JobSpec;
 import org.plantainloom.state.job.JobStatus;
 import org.plantainloom.state.store.CommitReply;
@@ -144,7 +143,7 @@
             });
   }
 
-  /** Reads the job, too, as no status can be told of an unreadable one. */
+  /** Reads the job, too, as its progress can be checked only against its tasks. */
   private CompletableFuture<JobReply> status(String jobId, Optional<String> progress) {
     return store
         .read(StoreKeys.job(jobId))
@@ -164,11 +163,9 @@
 
   private CompletableFuture<JobReply> status(String jobId, String job, Optional<String> progress) {
     try {
-      StoredJob.parse(jobId, job);
+      JobSpec spec = StoredJob.parse(jobId, job);
       return statusReply(
-          progress
-              .map(text -> Json.read(text, JobProgress.class).status())
-              .orElse(JobStatus.QUEUED));
+          progress.map(text -> StoredProgress.parse(spec, text).status()).orElse(JobStatus.QUEUED));
     } catch (MalformedMessageException e) {
       return fail(jobId, JobReply.UNAVAILABLE, "status: " + e.getMessage());
     }
--- a/src/main/java/org/plantainloom/transport/dispatch/OwnerSession.java
+++ b/src/main/java/org/plantainloom/transport/dispatch/OwnerSession.java
@@ -15,11 +15,11 @@
 import org.plantainloom.coordination.dispatch.DecisionLog;
 import org.plantainloom.coordination.dispatch.DispatchCommand;
 import org.plantainloom.coordination.dispatch.Dispatcher;
-import org.plantainloom.protocol.Json;
 import org.plantainloom.protocol.MalformedMessageException;
 import org.plantainloom.state.job.JobProgress;
 import org.plantainloom.state.job.JobSpec;
 import org.plantainloom.state.job.JobStatus;
+import org.plantainloom.state.job.PhaseSpec;
 import org.plantainloom.state.job.WorkerRegistration;
 import org.plantainloom.state.store.ReadReply;
 import org.plantainloom.state.store.StoreEvent;
@@ -212,9 +212,30 @@
 
   private void restore(JobSpec spec, Optional<StoreItem> stored, long now) {
     long revision = stored.map(StoreItem::revision).orElse(0L);
-    JobProgress progress =
-        stored.map(item -> Json.read(item.value(), JobProgress.class)).orElse(JobProgress.NONE);
-    dispatcher.restoreJob(spec, progress, revision, now);
+    try {
+      JobProgress progress =
+          stored.map(item -> StoredProgress.parse(spec, item.value())).orElse(JobProgress.NONE);
+      dispatcher.restoreJob(spec, progress, revision, now);
+    } catch (MalformedMessageException e) {
+      restoreWithoutProgress(spec, revision, e.getMessage(), now);
+    }
+  }
+
+  /**
+   * Handles a job of which it is not known which tasks have finished. Tasks that last never do, so
+   * they go on. Any other task may not run again: the dispatcher does not get to know the job, and
+   * therefore stops what runs of it, as it could not store how that ends.
+   */
+  private void restoreWithoutProgress(JobSpec spec, long revision, String reason, long now) {
+    boolean lasting = spec.phases().stream().allMatch(PhaseSpec::lasting);
+    LOG.errorf(
+        "event=progress-unreadable id=%s reason=%s effect=%s",
+        spec.id(), reason, lasting ? "failures and checkpoints are lost" : "no task runs any more");
+    if (lasting) {
+      dispatcher.restoreJob(spec, JobProgress.NONE, revision, now);
+    } else {
+      unrestoredJobs.add(spec.id());
+    }
   }
 
   private static Optional<JobSpec> readJob(String id, String text) {
--- a/src/test/java/org/plantainloom/platform/DamagedRecordTest.java
+++ b/src/test/java/org/plantainloom/platform/DamagedRecordTest.java
@@ -151,6 +151,58 @@
     }
   }
 
+  /** The progress of jobs. */
+  public static class Progress {
+    @DataProvider
+    public static Object[][] damagedProgress() {
+      return new Object[][] {
+        {"{\"status\":\"ACTIVE\",\"done\":null,\"failures\":{},\"checkpoints\":{}}"},
+        {"{\"status\":\"ACTIVE\",\"done\":{\"0.0\":\"xy\"},\"failures\":{},\"checkpoints\":{}}"}
+      };
+    }
+
+    @Test(dataProvider = "damagedProgress")
+    public void should_run_the_other_jobs_when_the_progress_of_one_is_unreadable(String damaged)
+        throws Exception {
+      try (NodeFixture fixture = new NodeFixture()) {
+        // given
+        RunningNode first = fixture.startNode("a");
+        first.submit(DAMAGED, SHORT_JOB);
+        first.awaitState(DAMAGED, "completed");
+        first.close();
+        // when
+        fixture.platform().overwrite("pl/progress/" + DAMAGED, damaged);
+        RunningNode second = fixture.startNode("b");
+        second.submit(SECOND, SHORT_JOB);
+        // then: the others complete; nothing of the job runs again, and no status is made up
+        second.awaitState(SECOND, "completed");
+        assertThat(fixture.platform().statistics().startsAfterCompletion()).isZero();
+        assertThat(second.statusCode(DAMAGED)).isEqualTo(503);
+      }
+    }
+
+    @Test
+    public void should_keep_serving_when_the_progress_of_a_lasting_job_is_unreadable()
+        throws Exception {
+      try (NodeFixture fixture = new NodeFixture()) {
+        // given: a job whose tasks never finish, so that none can run again after its end
+        RunningNode first = fixture.startNode("a");
+        first.submit(DAMAGED, LASTING_JOB);
+        NodeFixture.await(() -> fixture.platform().statistics().runningTasks() == 3);
+        first.close();
+        // when
+        fixture.platform().overwrite("pl/progress/" + DAMAGED, "{}");
+        RunningNode second = fixture.startNode("b");
+        second.submit(SECOND, SHORT_JOB);
+        // then
+        second.awaitState(SECOND, "completed");
+        second.awaitState(DAMAGED, "active");
+        assertThat(fixture.platform().statistics().runningTasks()).isEqualTo(3);
+        assertThat(fixture.platform().statistics().overlaps()).isZero();
+      }
+    }
+  }
+
   /** Accepted jobs. */
   public static class Jobs {
     private static final int SUBMISSIONS = 200;
--- a/src/test/java/org/plantainloom/transport/dispatch/StoredJobTest.java
+++ b/src/test/java/org/plantainloom/transport/dispatch/StoredJobTest.java
@@ -4,6 +4,7 @@
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import java.util.List;
+import java.util.Map;
 import org.plantainloom.coordination.dispatch.DecisionLog;
 import org.plantainloom.coordination.dispatch.DispatchPolicy;
 import org.plantainloom.coordination.dispatch.Dispatcher;
@@ -13,6 +14,7 @@
 import org.plantainloom.state.ResourceVector;
 import org.plantainloom.state.job.JobProgress;
 import org.plantainloom.state.job.JobSpec;
+import org.plantainloom.state.job.JobStatus;
 import org.plantainloom.state.job.PhaseSpec;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
@@ -122,4 +124,79 @@
       }
     }
   }
+
+  /** Records of the progress of jobs. */
+  public static class Progress {
+    private static final JobProgress PROGRESS =
+        new JobProgress(
+            JobStatus.ACTIVE,
+            Map.of("0.0", "ff01"),
+            Map.of(ID + ".1.0.2", List.of(100_001L, 100_002L)),
+            Map.of(ID + ".2.0.8", "c"));
+
+    @Test
+    public void should_read_intact_progress() {
+      assertThat(StoredProgress.parse(JOB, Json.write(PROGRESS))).isEqualTo(PROGRESS);
+    }
+
+    @DataProvider
+    public static Object[][] damagedProgress() {
+      return new Object[][] {
+        {""},
+        {"null"},
+        {"{}"},
+        {Json.write(PROGRESS) + "}"},
+        {"[".repeat(200_000)},
+        {"{\"done\":" + "{\"0.0\":".repeat(200_000)},
+        {damaged(PROGRESS, "\"ACTIVE\"", "null")},
+        {damaged(PROGRESS, "\"ACTIVE\"", "\"PAUSED\"")},
+        {damaged(PROGRESS, "\"done\"", "\"finished\"")},
+        {damaged(PROGRESS, "\"failures\"", "\"failed\"")},
+        {damaged(PROGRESS, "\"checkpoints\"", "\"saved\"")},
+        {damaged(PROGRESS, "\"ff01\"", "null")},
+        {damaged(PROGRESS, "\"ff01\"", "\"ff0\"")},
+        {damaged(PROGRESS, "\"ff01\"", "\"xy\"")},
+        {damaged(PROGRESS, "\"ff01\"", "\"ff02\"")},
+        {damaged(PROGRESS, "\"0.0\"", "\"0.2\"")},
+        {damaged(PROGRESS, "\"0.0\"", "\"3.0\"")},
+        {damaged(PROGRESS, "\"0.0\"", "\"0\"")},
+        {damaged(PROGRESS, "\"0.0\"", "\"-1.0\"")},
+        {damaged(PROGRESS, "\"0.0\"", "\"00.0\"")},
+        {damaged(PROGRESS, ".1.0.2", ".1.0.9")},
+        {damaged(PROGRESS, ".1.0.2", ".1.0")},
+        {damaged(PROGRESS, ID + ".1", "00000000000000bb.1")},
+        {damaged(PROGRESS, "100001", "null")},
+        {damaged(PROGRESS, "100001", "100001.5")},
+        {damaged(PROGRESS, "100001", "9223372036854775808")},
+        {damaged(PROGRESS, "[100001,100002]", "null")},
+        {damaged(PROGRESS, "\"c\"", "null")}
+      };
+    }
+
+    @Test(dataProvider = "damagedProgress")
+    public void should_not_read_damaged_progress(String text) {
+      assertThatThrownBy(() -> StoredProgress.parse(JOB, text))
+          .isInstanceOf(MalformedMessageException.class);
+    }
+
+    @Test
+    public void should_read_only_progress_that_can_be_restored() {
+      // given
+      MessageMutator mutator = new MessageMutator(7);
+      for (int i = 0; i < MESSAGES; i++) {
+        String text = mutator.mutate(Json.write(PROGRESS));
+        JobProgress progress;
+        try {
+          progress = StoredProgress.parse(JOB, text);
+        } catch (MalformedMessageException e) {
+          continue;
+        }
+        // when
+        Dispatcher dispatcher = dispatcher();
+        dispatcher.restoreJob(JOB, progress, 1, 1_000);
+        // then: no error
+        assertThat(dispatcher.decide(20_000, 1_000_000)).as(text).isEmpty();
+      }
+    }
+  }
 }
