--- a/src/main/java/org/plantainloom/transport/dispatch/OwnerSession.java
+++ b/src/main/java/org/plantainloom/transport/dispatch/OwnerSession.java
@@ -250,7 +250,7 @@
   private final class JobListener implements PrefixWatch.Listener {
     @Override
     public void onSnapshot(List<StoreItem> items) {
-      items.forEach(item -> apply(item.key(), item.value()));
+      PrefixWatch.forEach(items, item -> apply(item.key(), item.value()));
     }
 
     @Override
--- a/src/main/java/org/plantainloom/transport/dispatch/PrefixWatch.java
+++ b/src/main/java/org/plantainloom/transport/dispatch/PrefixWatch.java
@@ -1,6 +1,7 @@
 package org.plantainloom.transport.dispatch;
 
 import java.util.List;
+import java.util.function.Consumer;
 import org.jboss.logging.Logger;
 import org.plantainloom.state.store.ReadReply;
 import org.plantainloom.state.store.StoreEvent;
@@ -136,12 +137,20 @@
         });
   }
 
+  /**
+   * Passes each item of a snapshot to an action; if the action fails on one of them, the others are
+   * passed all the same.
+   */
+  static void forEach(List<StoreItem> items, Consumer<StoreItem> action) {
+    items.forEach(item -> pass(item.key(), () -> action.accept(item)));
+  }
+
   /** Calls the listener; if it fails, the watch goes on, as later changes concern other keys. */
-  private void pass(String key, Runnable call) {
+  private static void pass(String key, Runnable call) {
     try {
       call.run();
     } catch (RuntimeException | Error e) {
-      LOG.errorf(e, "event=entry-not-applied prefix=%s key=%s", prefix, key);
+      LOG.errorf(e, "event=entry-not-applied key=%s", key);
     }
   }
 
--- a/src/test/java/org/plantainloom/transport/dispatch/PrefixWatchTest.java
+++ b/src/test/java/org/plantainloom/transport/dispatch/PrefixWatchTest.java
@@ -115,4 +115,15 @@
       loop.execute(watch::close);
     }
   }
+
+  @Test
+  public void should_pass_on_the_other_items_of_a_snapshot_after_one_that_fails() {
+    // given
+    FailingListener listener = new FailingListener();
+    List<StoreItem> items = List.of(new StoreItem(BAD_KEY, "", 1), new StoreItem("p/good", "", 2));
+    // when
+    PrefixWatch.forEach(items, item -> listener.handle(item.key()));
+    // then
+    assertThat(listener.keys).containsExactly("p/good");
+  }
 }
