Test that deeply nested records do not overflow the stack of a node

The test passed when it was written: the parser refuses more than 1,000 levels, and what reads the records takes less than 256 KiB of stack for as many. It guards against a reader that recurses more.

--- a/src/test/java/org/plantainloom/transport/dispatch/StoredJobTest.java
+++ b/src/test/java/org/plantainloom/transport/dispatch/StoredJobTest.java
@@ -5,6 +5,7 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.atomic.AtomicReference;
 import org.plantainloom.coordination.dispatch.DecisionLog;
 import org.plantainloom.coordination.dispatch.DispatchPolicy;
 import org.plantainloom.coordination.dispatch.Dispatcher;
@@ -199,4 +200,49 @@
       }
     }
   }
+
+  /** Records nested as deeply as the parser follows, on the small stack of a node's threads. */
+  public static class DeepRecords {
+    /** As set for the node by its flags. */
+    private static final long STACK_BYTES = 256 * 1024;
+
+    /** The parser refuses deeper nesting. */
+    private static final int MAX_DEPTH = 1_000;
+
+    @DataProvider
+    public static Object[][] openings() {
+      return new Object[][] {
+        {""}, {"{\"workers\":["}, {"{\"phases\":["}, {"{\"done\":"}, {"{\"other\":"}
+      };
+    }
+
+    @Test(dataProvider = "openings")
+    public void should_not_overflow_the_stack_of_a_node(String opening)
+        throws InterruptedException {
+      for (String level : List.of("[", "{\"a\":")) {
+        for (int depth : List.of(MAX_DEPTH / 2, MAX_DEPTH - 5, 200 * MAX_DEPTH)) {
+          // given
+          String text = opening + level.repeat(depth);
+          AtomicReference<Throwable> error = new AtomicReference<>();
+          Thread thread = new Thread(null, () -> readAll(text), "node", STACK_BYTES);
+          thread.setUncaughtExceptionHandler((failed, thrown) -> error.set(thrown));
+          // when
+          thread.start();
+          thread.join();
+          // then
+          assertThat(error.get()).isNull();
+        }
+      }
+    }
+
+    private static void readAll(String text) {
+      StoredFleet.parse(text);
+      assertThatThrownBy(() -> StoredJob.parse(ID, text))
+          .isInstanceOf(MalformedMessageException.class);
+      assertThatThrownBy(() -> StoredProgress.parse(JOB, text))
+          .isInstanceOf(MalformedMessageException.class);
+      assertThatThrownBy(() -> StoredOwner.parse(text, 1))
+          .isInstanceOf(MalformedMessageException.class);
+    }
+  }
 }
