Merge the readers of our own records

After a damaged count of owners the terms go on from the revision of its item; then the stored list of earlier owners does not match, and the new owner waits for their leases without asking. No owner counts as the first while either record is there.

--- a/src/main/java/org/plantainloom/transport/dispatch/OwnerElection.java
+++ b/src/main/java/org/plantainloom/transport/dispatch/OwnerElection.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.function.Consumer;
 import org.jboss.logging.Logger;
 import org.plantainloom.coordination.membership.CampaignDelay;
@@ -19,6 +20,10 @@
  * Elects the node that owns the workers. The owner holds a key under a lease; when the key is
  * absent, the first node to write it becomes the owner. The term is stored without a lease, grows
  * with each owner and serves as the fencing token against its predecessors.
+ *
+ * <p>A key that another writer has overwritten is replaced by the next claim: it has no lease that
+ * would remove it. An owner whose key was overwritten gives up the ownership, as it can store no
+ * progress; the next claim raises the term, so that workers refuse its late commands.
  */
 final class OwnerElection implements PrefixWatch.Listener {
   private static final Logger LOG = Logger.getLogger(OwnerElection.class);
@@ -40,6 +45,14 @@
   private final OwnershipListener listener;
   private Optional<OwnerRecord> owner = Optional.empty();
   private boolean ownerKeyRead;
+
+  /** Revision of an owner key that is not the work of a claim; 0 if there is none. */
+  private long invalidKeyRevision;
+
+  /** The highest term of a claim that this node has seen; each claim raises the term. */
+  private long lastClaimTerm;
+
+  private long lastClaimRevision;
   private Ownership ownership;
   private boolean campaigning;
   private boolean renewing;
@@ -51,6 +64,9 @@
   private long lastRenewalMs;
   private long oneWayDelayMs;
 
+  /** Revision of the last unreadable term that was logged, as a claim may be repeated often. */
+  private long reportedTermRevision;
+
   /**
    * This node's ownership of the workers.
    *
@@ -103,12 +119,16 @@
 
   private void observe(Optional<String> value, long revision) {
     ownerKeyRead = true;
-    owner = value.flatMap(OwnerElection::parse);
+    owner = value.flatMap(text -> readOwner(text, revision));
+    invalidKeyRevision = value.isPresent() && owner.isEmpty() ? revision : 0;
     if (ownership != null) {
       boolean replaced = owner.isPresent() && owner.get().term() > ownership.record().term();
       boolean gone = owner.isEmpty() && revision > ownership.revision();
-      if (replaced || gone) {
-        loseOwnership(replaced ? "replaced by " + owner.get().node() : "key removed");
+      if (replaced) {
+        loseOwnership("replaced by " + owner.get().node());
+      } else if (gone) {
+        // Also if the key was overwritten: this node can store no progress any more.
+        loseOwnership(value.isPresent() ? "key overwritten" : "key removed");
       }
     }
     if (owner.isEmpty()) {
@@ -116,15 +136,31 @@
     }
   }
 
-  private static Optional<OwnerRecord> parse(String text) {
+  /** Returns the owner, or empty if the value of the key is not that of a claim. */
+  private Optional<OwnerRecord> readOwner(String text, long revision) {
     try {
-      return Optional.of(Json.read(text, OwnerRecord.class));
+      OwnerRecord record = StoredOwner.parse(text, revision);
+      if (revision > lastClaimRevision && record.term() <= lastClaimTerm) {
+        throw MalformedMessageException.of(
+            OwnerRecord.class, "an earlier term, " + record.term(), null);
+      }
+      recordClaim(record.term(), revision);
+      return Optional.of(record);
     } catch (MalformedMessageException e) {
-      LOG.warnf("event=owner-unreadable reason=%s", e.getMessage());
+      LOG.errorf(
+          "event=owner-unreadable revision=%d reason=%s effect=the key is claimed anew",
+          revision, e.getMessage());
       return Optional.empty();
     }
   }
 
+  private void recordClaim(long term, long revision) {
+    if (term > lastClaimTerm) {
+      lastClaimTerm = term;
+      lastClaimRevision = revision;
+    }
+  }
+
   /** Renews the lease if that is due. */
   void tick(long nowMs) {
     if (ownership == null || renewing || nowMs - lastRenewalMs < RENEW_INTERVAL_MS) {
@@ -255,14 +291,17 @@
 
   private void claimOwnership(
       long leaseId, Optional<StoreItem> lastTerm, Optional<StoreItem> unsettledOwners) {
-    long term = lastTerm.map(item -> Long.parseLong(item.value())).orElse(0L) + 1;
+    // A stored term below that of a known claim was not written by an owner.
+    long term = Math.max(lastTerm.map(this::termOf).orElse(0L), lastClaimTerm) + 1;
     OwnerRecord record = new OwnerRecord(node.name(), node.controlAddress(), term);
     Optional<List<OwnerRecord>> predecessors =
-        term == 1 ? Optional.of(List.of()) : predecessors(unsettledOwners, term);
+        lastTerm.isEmpty() && unsettledOwners.isEmpty()
+            ? Optional.of(List.of())
+            : predecessors(unsettledOwners, term);
     UnsettledOwners unsettled = UnsettledOwners.withSuccessor(predecessors, record);
     Transaction transaction =
         Transaction.start()
-            .expectAbsent(StoreKeys.OWNER)
+            .expect(StoreKeys.OWNER, invalidKeyRevision)
             .expect(StoreKeys.TERM, lastTerm.map(StoreItem::revision).orElse(0L))
             .writeLeased(StoreKeys.OWNER, Json.write(record), leaseId)
             .write(StoreKeys.TERM, Long.toString(term))
@@ -271,10 +310,13 @@
         node.store().commit(transaction),
         reply -> {
           campaigning = false;
+          // Another writer may have overwritten the key before this reply arrived.
           if (reply instanceof CommitReply.Committed committed
+              && committed.revision() > invalidKeyRevision
               && !resigned
               && term >= smallestTerm) {
             owner = Optional.of(record);
+            recordClaim(term, committed.revision());
             ownership = new Ownership(record, leaseId, committed.revision(), predecessors);
             lastRenewalMs = NodeContext.nowMs();
             LOG.infof("event=ownership-gained term=%d revision=%d", term, committed.revision());
@@ -292,13 +334,28 @@
   private static Optional<List<OwnerRecord>> predecessors(Optional<StoreItem> stored, long term) {
     try {
       return stored.flatMap(
-          item -> Json.read(item.value(), UnsettledOwners.class).ownersUpTo(term - 1));
+          item -> Json.readStrictly(item.value(), UnsettledOwners.class).ownersUpTo(term - 1));
     } catch (MalformedMessageException e) {
       LOG.warnf("event=unsettled-owners-unreadable reason=%s", e.getMessage());
       return Optional.empty();
     }
   }
 
+  /**
+   * Returns the term of the last owner. If it is unreadable, returns the revision of its item
+   * instead, which no earlier term exceeds, so that the fencing tokens go on rising.
+   */
+  private long termOf(StoreItem item) {
+    OptionalLong term = StoredTerm.parse(item);
+    if (term.isEmpty() && item.revision() != reportedTermRevision) {
+      reportedTermRevision = item.revision();
+      LOG.errorf(
+          "event=term-unreadable revision=%d length=%d effect=terms go on from the revision",
+          item.revision(), item.value().length());
+    }
+    return term.orElse(item.revision());
+  }
+
   private void retryCampaign() {
     campaigning = false;
     delayedExecutor.schedule(RETRY_MS, this::campaignIfNoOwner);
--- a/src/main/java/org/plantainloom/transport/dispatch/OwnerSession.java
+++ b/src/main/java/org/plantainloom/transport/dispatch/OwnerSession.java
@@ -15,14 +15,12 @@
 import org.plantainloom.coordination.dispatch.DecisionLog;
 import org.plantainloom.coordination.dispatch.DispatchCommand;
 import org.plantainloom.coordination.dispatch.Dispatcher;
-import org.plantainloom.coordination.dispatch.FleetMember;
-import org.plantainloom.protocol.Json;
 import org.plantainloom.protocol.MalformedMessageException;
 import org.plantainloom.state.job.JobProgress;
 import org.plantainloom.state.job.JobSpec;
 import org.plantainloom.state.job.JobStatus;
+import org.plantainloom.state.job.PhaseSpec;
 import org.plantainloom.state.job.PollReply;
-import org.plantainloom.state.job.TaskKey;
 import org.plantainloom.state.job.WorkerRegistration;
 import org.plantainloom.state.store.ReadReply;
 import org.plantainloom.state.store.StoreEvent;
@@ -63,6 +61,13 @@
   private final Timer roundTimer;
   private Optional<ReadReply.Found> storedJobs = Optional.empty();
   private Optional<ReadReply.Found> storedProgress = Optional.empty();
+
+  /**
+   * Jobs that could not be restored. Former owners may have run their tasks, so that they must not
+   * be taken for new jobs when their keys change.
+   */
+  private final Set<String> unrestoredJobs = new HashSet<>();
+
   private final List<Runnable> deferredReplies = new ArrayList<>();
   private int fleetSize;
   private boolean fleetLoaded;
@@ -149,14 +154,9 @@
   }
 
   private void onFleet(ReadReply.Found fleet) {
-    long now = NodeContext.nowMs();
-    for (StoreItem item : fleet.items()) {
-      FleetRecord record = Json.read(item.value(), FleetRecord.class);
-      for (WorkerRegistration worker : record.workers()) {
-        dispatcher.workerInherited(new FleetMember(worker, silentTasks(record, worker)), now);
-      }
-      fleetSize += record.workers().size();
-    }
+    fleet.items().stream()
+        .filter(item -> item.key().equals(StoreKeys.FLEET))
+        .forEach(this::inheritFleet);
     fleetLoaded = true;
     watches.add(
         new PrefixWatch(
@@ -170,10 +170,18 @@
     startWhenLoaded();
   }
 
-  private static Optional<List<TaskKey>> silentTasks(
-      FleetRecord record, WorkerRegistration worker) {
-    return Optional.ofNullable(record.silentTasks().get(worker.id()))
-        .map(keys -> keys.stream().map(TaskKey::parse).flatMap(Optional::stream).toList());
+  private void inheritFleet(StoreItem item) {
+    long now = NodeContext.nowMs();
+    StoredFleet fleet = StoredFleet.parse(item.value());
+    fleet.members().forEach(member -> dispatcher.workerInherited(member, now));
+    fleetSize = fleet.members().size();
+    if (fleet.damage().isPresent()) {
+      LOG.errorf(
+          "event=fleet-unreadable revision=%d workers=%d reason=%s effect=tasks of inherited jobs"
+              + " wait for the longest lease",
+          item.revision(), fleetSize, fleet.damage().get());
+      dispatcher.fleetIncomplete();
+    }
   }
 
   private void startWhenLoaded() {
@@ -199,33 +207,59 @@
   private void restoreJobs(List<StoreItem> jobs, List<StoreItem> progress) {
     long now = NodeContext.nowMs();
     Map<String, StoreItem> progressById = new HashMap<>();
-    progress.forEach(item -> progressById.put(StoreKeys.jobId(item.key()), item));
+    progress.forEach(
+        item -> StoreKeys.jobId(item.key()).ifPresent(id -> progressById.put(id, item)));
     Set<String> cancelled = new HashSet<>();
     for (StoreItem item : jobs) {
-      if (StoreKeys.isCancel(item.key())) {
-        cancelled.add(StoreKeys.jobId(item.key()));
+      Optional<String> id = StoreKeys.jobId(item.key());
+      if (id.isEmpty()) {
+        LOG.warnf("event=foreign-key key=%s", item.key());
+      } else if (StoreKeys.isCancel(item.key())) {
+        cancelled.add(id.get());
       } else {
-        parseJob(item.value()).ifPresent(spec -> restore(spec, progressById.get(spec.id()), now));
+        Optional<StoreItem> itsProgress = Optional.ofNullable(progressById.get(id.get()));
+        readJob(id.get(), item.value())
+            .ifPresentOrElse(
+                spec -> restore(spec, itsProgress, now), () -> unrestoredJobs.add(id.get()));
       }
     }
     cancelled.forEach(id -> dispatcher.jobCancelled(id, now));
     dispatcher.jobsRestored();
   }
 
-  private void restore(JobSpec spec, StoreItem progress, long now) {
-    if (progress == null) {
-      dispatcher.restoreJob(spec, JobProgress.NONE, 0, now);
+  private void restore(JobSpec spec, Optional<StoreItem> stored, long now) {
+    long revision = stored.map(StoreItem::revision).orElse(0L);
+    try {
+      JobProgress progress =
+          stored.map(item -> StoredProgress.parse(spec, item.value())).orElse(JobProgress.NONE);
+      dispatcher.restoreJob(spec, progress, revision, now);
+    } catch (MalformedMessageException e) {
+      restoreWithoutProgress(spec, revision, e.getMessage(), now);
+    }
+  }
+
+  /**
+   * Handles a job of which it is not known which tasks have finished. Tasks that last never do, so
+   * they go on. Any other task may not run again: the dispatcher does not get to know the job, and
+   * therefore stops what runs of it, as it could not store how that ends.
+   */
+  private void restoreWithoutProgress(JobSpec spec, long revision, String reason, long now) {
+    boolean lasting = spec.phases().stream().allMatch(PhaseSpec::lasting);
+    LOG.errorf(
+        "event=progress-unreadable id=%s reason=%s effect=%s",
+        spec.id(), reason, lasting ? "failures and checkpoints are lost" : "no task runs any more");
+    if (lasting) {
+      dispatcher.restoreJob(spec, JobProgress.NONE, revision, now);
     } else {
-      dispatcher.restoreJob(
-          spec, Json.read(progress.value(), JobProgress.class), progress.revision(), now);
+      unrestoredJobs.add(spec.id());
     }
   }
 
-  private static Optional<JobSpec> parseJob(String text) {
+  private static Optional<JobSpec> readJob(String id, String text) {
     try {
-      return Optional.of(Json.read(text, JobSpec.class));
+      return Optional.of(StoredJob.parse(id, text));
     } catch (MalformedMessageException e) {
-      LOG.errorf("event=job-unreadable reason=%s", e.getMessage());
+      LOG.errorf("event=job-unreadable id=%s reason=%s", id, e.getMessage());
       return Optional.empty();
     }
   }
@@ -233,7 +267,7 @@
   private final class JobListener implements PrefixWatch.Listener {
     @Override
     public void onSnapshot(List<StoreItem> items) {
-      items.forEach(item -> apply(item.key(), item.value()));
+      PrefixWatch.forEach(items, item -> apply(item.key(), item.value()));
     }
 
     @Override
@@ -242,11 +276,14 @@
     }
 
     private void apply(String key, String value) {
-      long now = NodeContext.nowMs();
-      if (StoreKeys.isCancel(key)) {
-        dispatcher.jobCancelled(StoreKeys.jobId(key), now);
-      } else {
-        parseJob(value).ifPresent(spec -> dispatcher.jobSubmitted(spec, now));
+      Optional<String> id = StoreKeys.jobId(key);
+      if (id.isEmpty()) {
+        LOG.warnf("event=foreign-key key=%s", key);
+      } else if (StoreKeys.isCancel(key)) {
+        dispatcher.jobCancelled(id.get(), NodeContext.nowMs());
+      } else if (!unrestoredJobs.contains(id.get())) {
+        readJob(id.get(), value)
+            .ifPresent(spec -> dispatcher.jobSubmitted(spec, NodeContext.nowMs()));
       }
       scheduleRound();
     }
--- a/src/main/java/org/plantainloom/transport/dispatch/UnsettledOwners.java
+++ b/src/main/java/org/plantainloom/transport/dispatch/UnsettledOwners.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Objects;
 import java.util.Optional;
 
 /**
@@ -17,6 +18,10 @@
 
   UnsettledOwners {
     owners = List.copyOf(owners);
+    for (OwnerRecord owner : owners) {
+      Objects.requireNonNull(owner.node());
+      Objects.requireNonNull(owner.address());
+    }
   }
 
   /** Returns the list of an owner whose predecessors' leases have all expired. */
--- a/src/test/java/org/plantainloom/coordination/dispatch/HandoverSimulation.java
+++ b/src/test/java/org/plantainloom/coordination/dispatch/HandoverSimulation.java
@@ -266,7 +266,7 @@
           .ifPresent(
               fleet -> {
                 storedFleet = fleet;
-                dispatcher.fleetPersisted(fleet);
+                dispatcher.fleetPersisted(fleet, dispatcher.isFleetIncomplete());
               });
       dispatcher
           .unpersistedProgress()
--- a/src/test/java/org/plantainloom/transport/dispatch/PredecessorInquiryTest.java
+++ b/src/test/java/org/plantainloom/transport/dispatch/PredecessorInquiryTest.java
@@ -1,6 +1,7 @@
 package org.plantainloom.transport.dispatch;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatExceptionOfType;
 
 import java.util.ArrayList;
 import java.util.List;
@@ -11,7 +12,10 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import org.plantainloom.protocol.Json;
+import org.plantainloom.protocol.MalformedMessageException;
 import org.plantainloom.transport.duty.EventLoop;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 /** Tests how a new owner finds out when the owners before it have stopped. */
@@ -105,6 +109,28 @@
       assertThat(owners.ownersUpTo(3)).hasValue(List.of(SECOND, again));
     }
 
+    @Test(dataProvider = "damagedLists")
+    public void should_reject_a_damaged_list(String text) {
+      // then
+      assertThatExceptionOfType(MalformedMessageException.class)
+          .isThrownBy(() -> Json.readStrictly(text, UnsettledOwners.class));
+    }
+
+    @DataProvider
+    public static Object[][] damagedLists() {
+      return new Object[][] {
+        {""},
+        {"null"},
+        {"[]"},
+        {"{\"term\":1,\"complete\":true}"},
+        {"{\"term\":1.5,\"complete\":true,\"owners\":[]}"},
+        {"{\"term\":1e400,\"complete\":true,\"owners\":[]}"},
+        {"{\"term\":1,\"complete\":true,\"owners\":[null]}"},
+        {"{\"term\":1,\"complete\":true,\"owners\":[{\"node\":\"a\",\"term\":1}]}"},
+        {"[".repeat(5_000)}
+      };
+    }
+
     @Test
     public void should_name_no_owners_if_one_of_an_older_release_is_missing() {
       // given: an owner between the first and the third wrote no list
