Report a command whose request cannot be created as not sent

Operators saw: after another system had left an entry with an unusable address among those of the workers, no task started any more, and running tasks lost their leases.

Cause: for an address such as ":1", "a b:1" or "256.1.1.1:1", or an id with a line break, the HTTP client threw instead of returning a failed future. The exception ended the round of commands. The dispatcher took the polls after it as sent and waited for their replies for ever. Other invalid addresses gave no reply instead of "not sent", so a task ordered there was held back for no reason.

Change: send creates the request itself and turns an exception, and a target that Armeria rejects later, into NOT_SENT, as its contract says. Nothing has been sent in either case.

--- a/src/main/java/org/plantainloom/platform/PlatformHttpClient.java
+++ b/src/main/java/org/plantainloom/platform/PlatformHttpClient.java
@@ -8,10 +8,13 @@
 import com.linecorp.armeria.common.HttpData;
 import com.linecorp.armeria.common.HttpMethod;
 import com.linecorp.armeria.common.HttpRequest;
+import com.linecorp.armeria.common.HttpResponse;
 import com.linecorp.armeria.common.MediaType;
 import com.linecorp.armeria.common.RequestHeaders;
 import com.linecorp.armeria.common.RequestHeadersBuilder;
+import com.linecorp.armeria.common.RequestTarget;
 import com.linecorp.armeria.common.metric.NoopMeterRegistry;
+import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 
 /**
@@ -48,37 +51,56 @@
   }
 
   CompletableFuture<PlatformHttpReply> get(String address, String path, long timeoutMs) {
-    return send(RequestHeaders.builder(HttpMethod.GET, url(address, path)), "", timeoutMs);
+    return send(HttpMethod.GET, address, path, Map.of(), "", timeoutMs);
   }
 
   CompletableFuture<PlatformHttpReply> post(
       String address, String path, String body, long timeoutMs) {
-    return send(RequestHeaders.builder(HttpMethod.POST, url(address, path)), body, timeoutMs);
+    return send(HttpMethod.POST, address, path, Map.of(), body, timeoutMs);
   }
 
+  CompletableFuture<PlatformHttpReply> delete(String address, String path, long timeoutMs) {
+    return send(HttpMethod.DELETE, address, path, Map.of(), "", timeoutMs);
+  }
+
+  /**
+   * Sends a request. Its target and headers may come from entries that other systems write, so they
+   * may be invalid; the request is then {@link PlatformHttpReply#NOT_SENT}.
+   */
   CompletableFuture<PlatformHttpReply> send(
-      RequestHeadersBuilder headers, String body, long timeoutMs) {
-    if (!body.isEmpty()) {
-      headers.contentType(MediaType.JSON);
+      HttpMethod method,
+      String address,
+      String path,
+      Map<String, String> extraHeaders,
+      String body,
+      long timeoutMs) {
+    String url = "h1c://" + address + path;
+    HttpResponse response;
+    try {
+      RequestHeadersBuilder headers = RequestHeaders.builder(method, url);
+      extraHeaders.forEach(headers::add);
+      if (!body.isEmpty()) {
+        headers.contentType(MediaType.JSON);
+      }
+      RequestOptions options = RequestOptions.builder().responseTimeoutMillis(timeoutMs).build();
+      response = client.execute(HttpRequest.of(headers.build(), HttpData.ofUtf8(body)), options);
+    } catch (RuntimeException e) {
+      return CompletableFuture.completedFuture(
+          new PlatformHttpReply(PlatformHttpReply.NOT_SENT, e.toString()));
     }
-    RequestOptions options = RequestOptions.builder().responseTimeoutMillis(timeoutMs).build();
-    return client
-        .execute(HttpRequest.of(headers.build(), HttpData.ofUtf8(body)), options)
+    return response
         .aggregate()
-        .handle((response, failure) -> failure == null ? reply(response) : failedReply(failure));
-  }
-
-  static String url(String address, String path) {
-    return "h1c://" + address + path;
+        .handle((reply, failure) -> failure == null ? reply(reply) : failedReply(url, failure));
   }
 
   private static PlatformHttpReply reply(AggregatedHttpResponse response) {
     return new PlatformHttpReply(response.status().code(), response.contentUtf8());
   }
 
-  private static PlatformHttpReply failedReply(Throwable failure) {
+  private static PlatformHttpReply failedReply(String url, Throwable failure) {
     Throwable cause = failure.getCause() == null ? failure : failure.getCause();
-    boolean notSent = failure instanceof UnprocessedRequestException;
+    boolean notSent =
+        failure instanceof UnprocessedRequestException || RequestTarget.forClient(url) == null;
     return new PlatformHttpReply(
         notSent ? PlatformHttpReply.NOT_SENT : PlatformHttpReply.NO_RESPONSE, cause.toString());
   }
--- a/src/main/java/org/plantainloom/platform/PlatformStore.java
+++ b/src/main/java/org/plantainloom/platform/PlatformStore.java
@@ -3,8 +3,6 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import com.linecorp.armeria.common.HttpMethod;
-import com.linecorp.armeria.common.RequestHeaders;
 import java.net.URLEncoder;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -186,10 +184,7 @@
   public CompletableFuture<LeaseReply> endLease(long leaseId) {
     String path = "/-/kv-lease-end/" + leaseId;
     return client
-        .send(
-            RequestHeaders.builder(HttpMethod.DELETE, PlatformHttpClient.url(address, path)),
-            "",
-            CALL_TIMEOUT_MS)
+        .delete(address, path, CALL_TIMEOUT_MS)
         .thenApply(
             reply ->
                 reply.isOk()
--- a/src/main/java/org/plantainloom/platform/PlatformWorkers.java
+++ b/src/main/java/org/plantainloom/platform/PlatformWorkers.java
@@ -3,8 +3,6 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.linecorp.armeria.common.HttpMethod;
-import com.linecorp.armeria.common.RequestHeaders;
-import com.linecorp.armeria.common.RequestHeadersBuilder;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -90,14 +88,18 @@
 
   private CompletableFuture<CommandReply> sendCommand(
       WorkerRegistration worker, String path, ObjectNode body) {
-    return client
-        .send(headers(worker, path), body.toString(), COMMAND_TIMEOUT_MS)
-        .thenApply(PlatformWorkers::commandReply);
+    return send(worker, path, body, COMMAND_TIMEOUT_MS).thenApply(PlatformWorkers::commandReply);
   }
 
-  private static RequestHeadersBuilder headers(WorkerRegistration worker, String path) {
-    return RequestHeaders.builder(HttpMethod.POST, PlatformHttpClient.url(worker.address(), path))
-        .add("x-expected-instance", worker.id());
+  private CompletableFuture<PlatformHttpReply> send(
+      WorkerRegistration worker, String path, ObjectNode body, long timeoutMs) {
+    return client.send(
+        HttpMethod.POST,
+        worker.address(),
+        path,
+        Map.of("x-expected-instance", worker.id()),
+        body.toString(),
+        timeoutMs);
   }
 
   private static CommandReply commandReply(PlatformHttpReply reply) {
@@ -132,8 +134,7 @@
     if (waitMs > 0) {
       body.put("wait-ms", waitMs);
     }
-    return client
-        .send(headers(worker, "/-/hold"), body.toString(), waitMs + POLL_SLACK_MS)
+    return send(worker, "/-/hold", body, waitMs + POLL_SLACK_MS)
         .thenApply(PlatformWorkers::pollReply);
   }
 
--- a/src/main/java/org/plantainloom/platform/standin/SimulatedPlatform.java
+++ b/src/main/java/org/plantainloom/platform/standin/SimulatedPlatform.java
@@ -163,6 +163,11 @@
             + "\"limits\":{\"max-body-bytes\":20000}}");
   }
 
+  /** Writes an entry as another writer may: below the workers' prefix, with any text. */
+  public void putWorkerEntry(String id, String text) {
+    store.put("servers/" + id, text);
+  }
+
   /** Withdraws an availability zone, or makes it available again. */
   public void setZoneWithdrawn(String zone, boolean withdrawn) {
     if (withdrawn) {
--- a/src/test/java/org/plantainloom/platform/NodeTest.java
+++ b/src/test/java/org/plantainloom/platform/NodeTest.java
@@ -21,6 +21,7 @@
 import org.plantainloom.transport.dispatch.Node;
 import org.plantainloom.transport.dispatch.NodeContext;
 import org.testng.annotations.AfterMethod;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 /** Tests whole nodes against the simulated platform. */
@@ -37,6 +38,7 @@
 
   private static final long POLL_MS = 20;
   private static final long TASK_MS = 50;
+  private static final int FOREIGN_ENTRIES = 8;
 
   private final List<AutoCloseable> resources = new ArrayList<>();
   private SimulatedPlatform platform;
@@ -286,4 +288,37 @@
     assertThat(platform.statistics().overlaps()).isZero();
     assertThat(platform.statistics().runningTasks()).isEqualTo(3);
   }
+
+  /** Addresses for which the HTTP client cannot create a request, or cannot connect. */
+  @DataProvider
+  public static Object[][] unusableAddresses() {
+    return new Object[][] {{"10.0.0.1:99999"}, {"10.0.0.1:-1"}, {":1"}, {"a b:1"}, {"256.1.1.1:1"}};
+  }
+
+  @Test(dataProvider = "unusableAddresses")
+  public void should_run_tasks_on_the_other_workers_when_an_address_is_unusable(String address)
+      throws Exception {
+    // given: as many entries as it takes for some to be handled before the other workers
+    startPlatform();
+    platform.configure(1);
+    for (int i = 0; i < FOREIGN_ENTRIES; i++) {
+      platform.putWorkerEntry("odd-" + i, foreignEntry(address));
+    }
+    WebClient client = startNode("a");
+    // when
+    submit(client, LONG_RUNNING_JOB);
+    // then
+    await(() -> platform.statistics().runningTasks() == 3);
+    String path = SimulatedPlatform.JOB_PATH_PREFIX + "00000000000000bb";
+    await(() -> send(client, HttpMethod.POST, path, TWO_PHASE_JOB).status().code() == 200);
+    await(() -> send(client, HttpMethod.GET, path, "").contentUtf8().contains("completed"));
+    assertThat(platform.statistics().overlaps()).isZero();
+  }
+
+  private static String foreignEntry(String address) {
+    return "{\"service\":\"service\",\"address\":\""
+        + address
+        + "\",\"zone\":\"zone-1\",\"state\":\"ready\",\"labels\":[\"a\",\"r1\"],"
+        + "\"capacity\":{\"cpu\":8000,\"mem-mb\":32000,\"gpu\":0}}";
+  }
 }
