Send the other commands of a round when one cannot be sent

Operators would see what an unusable address caused: no worker is polled any more after one command failed within the client.

Cause: decideAndSend went through the commands without isolating them. An exception for one lost all that followed, while the dispatcher took them as sent and waited for their replies.

Evidence, before the change: with a client that throws for one worker, the job did not complete within 30 s when that worker was i-1 (i-0 and i-2 passed; which one is handled first depends on the order of a hash map).

Change: a call that throws, or whose future fails against the contract of its port, gets the reply of one whose outcome is unknown. The first failure of each worker is logged with its stack trace, the silence of the worker by the dispatcher as before.

--- a/src/main/java/org/plantainloom/transport/dispatch/OwnerSession.java
+++ b/src/main/java/org/plantainloom/transport/dispatch/OwnerSession.java
@@ -9,8 +9,11 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import org.jboss.logging.Logger;
 import org.plantainloom.coordination.dispatch.DecisionLog;
 import org.plantainloom.coordination.dispatch.DispatchCommand;
@@ -18,9 +21,11 @@
 import org.plantainloom.coordination.dispatch.FleetMember;
 import org.plantainloom.protocol.Json;
 import org.plantainloom.protocol.MalformedMessageException;
+import org.plantainloom.state.job.CommandReply;
 import org.plantainloom.state.job.JobProgress;
 import org.plantainloom.state.job.JobSpec;
 import org.plantainloom.state.job.JobStatus;
+import org.plantainloom.state.job.PollReply;
 import org.plantainloom.state.job.TaskKey;
 import org.plantainloom.state.job.WorkerRegistration;
 import org.plantainloom.state.store.ReadReply;
@@ -61,6 +66,7 @@
   private Optional<ReadReply.Found> storedJobs = Optional.empty();
   private Optional<ReadReply.Found> storedProgress = Optional.empty();
   private final List<Runnable> deferredReplies = new ArrayList<>();
+  private final Set<String> workersWithFailedCalls = ConcurrentHashMap.newKeySet();
   private int fleetSize;
   private boolean fleetLoaded;
   private boolean loaded;
@@ -324,40 +330,81 @@
   private void send(DispatchCommand order, long sentMs) {
     if (order instanceof DispatchCommand.Start start) {
       startCounter.inc();
-      eventLoop.onResult(
-          node.workers().start(start.worker(), start.command(), start.leaseUntilMs(), fencingToken),
-          reply ->
-              onReply(
-                  () -> {
-                    long now = NodeContext.nowMs();
-                    startReplyTimer.update(now - sentMs, TimeUnit.MILLISECONDS);
-                    dispatcher.startAnswered(start, reply, now);
-                  }));
+      call(
+          start.worker(),
+          () ->
+              node.workers()
+                  .start(start.worker(), start.command(), start.leaseUntilMs(), fencingToken),
+          CommandReply.UNKNOWN,
+          reply -> {
+            long now = NodeContext.nowMs();
+            startReplyTimer.update(now - sentMs, TimeUnit.MILLISECONDS);
+            dispatcher.startAnswered(start, reply, now);
+          });
     } else if (order instanceof DispatchCommand.Stop stop) {
       decisionLog.logDecision("stop-ordered", stop.task() + "#" + stop.number(), "");
-      eventLoop.onResult(
-          node.workers().stop(stop.worker(), stop.task(), stop.number(), fencingToken),
-          reply -> onReply(() -> dispatcher.stopAnswered(stop, reply, NodeContext.nowMs())));
+      call(
+          stop.worker(),
+          () -> node.workers().stop(stop.worker(), stop.task(), stop.number(), fencingToken),
+          CommandReply.UNKNOWN,
+          reply -> dispatcher.stopAnswered(stop, reply, NodeContext.nowMs()));
     } else if (order instanceof DispatchCommand.LimitCpu pace) {
       decisionLog.logDecision(
           "run-paced", pace.task() + "#" + pace.number(), "percent=" + pace.percent());
-      eventLoop.onResult(
-          node.workers()
-              .limitCpu(pace.worker(), pace.task(), pace.number(), pace.percent(), fencingToken),
-          reply -> onReply(() -> dispatcher.cpuLimitAnswered(pace, reply, NodeContext.nowMs())));
+      call(
+          pace.worker(),
+          () ->
+              node.workers()
+                  .limitCpu(
+                      pace.worker(), pace.task(), pace.number(), pace.percent(), fencingToken),
+          CommandReply.UNKNOWN,
+          reply -> dispatcher.cpuLimitAnswered(pace, reply, NodeContext.nowMs()));
     } else if (order instanceof DispatchCommand.Poll poll) {
-      eventLoop.onResult(
-          node.workers()
-              .poll(
-                  poll.worker(),
-                  poll.leaseUntilMs(),
-                  poll.acknowledged(),
-                  poll.waitMs(),
-                  fencingToken),
-          reply ->
-              onReply(
-                  () ->
-                      dispatcher.pollAnswered(poll.worker(), reply, sentMs, NodeContext.nowMs())));
+      call(
+          poll.worker(),
+          () ->
+              node.workers()
+                  .poll(
+                      poll.worker(),
+                      poll.leaseUntilMs(),
+                      poll.acknowledged(),
+                      poll.waitMs(),
+                      fencingToken),
+          new PollReply.Unavailable("the command failed"),
+          reply -> dispatcher.pollAnswered(poll.worker(), reply, sentMs, NodeContext.nowMs()));
+    }
+  }
+
+  /**
+   * Sends a command. If the client fails, the dispatcher gets a reply all the same, and the other
+   * commands of the round are sent: it would wait for their replies for ever otherwise.
+   *
+   * @param failureReply the reply if the call fails; the command may have been sent
+   */
+  private <T> void call(
+      WorkerRegistration worker,
+      Supplier<CompletableFuture<T>> command,
+      T failureReply,
+      Consumer<T> consumer) {
+    CompletableFuture<T> reply;
+    try {
+      reply = command.get();
+    } catch (RuntimeException e) {
+      reply = CompletableFuture.failedFuture(e);
+    }
+    eventLoop.onResult(
+        reply.exceptionally(
+            failure -> {
+              logFailedCall(worker, failure);
+              return failureReply;
+            }),
+        result -> onReply(() -> consumer.accept(result)));
+  }
+
+  /** Logs the first failure only, as each retry is likely to fail for the same reason. */
+  private void logFailedCall(WorkerRegistration worker, Throwable failure) {
+    if (workersWithFailedCalls.add(worker.id())) {
+      LOG.errorf(failure, "event=command-failed worker=%s", worker.id());
     }
   }
 
--- a/src/test/java/org/plantainloom/platform/NodeTest.java
+++ b/src/test/java/org/plantainloom/platform/NodeTest.java
@@ -11,13 +11,18 @@
 import com.linecorp.armeria.common.RequestHeaders;
 import com.linecorp.armeria.common.metric.NoopMeterRegistry;
 import com.linecorp.armeria.server.Server;
+import java.lang.reflect.InvocationHandler;
+import java.lang.reflect.Proxy;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.BooleanSupplier;
+import java.util.function.UnaryOperator;
 import org.plantainloom.coordination.dispatch.DispatchPolicy;
 import org.plantainloom.platform.standin.SimulatedPlatform;
+import org.plantainloom.state.job.TaskWorkers;
+import org.plantainloom.state.job.WorkerRegistration;
 import org.plantainloom.transport.dispatch.Node;
 import org.plantainloom.transport.dispatch.NodeContext;
 import org.testng.annotations.AfterMethod;
@@ -44,6 +49,10 @@
   private SimulatedPlatform platform;
 
   private WebClient startNode(String name) {
+    return startNode(name, UnaryOperator.identity());
+  }
+
+  private WebClient startNode(String name, UnaryOperator<TaskWorkers> decorator) {
     PlatformHttpClient client = new PlatformHttpClient();
     Node node =
         Node.start(
@@ -52,7 +61,7 @@
                 "127.0.0.1:1",
                 1,
                 new PlatformStore(client, platform.storeAddress()),
-                new PlatformWorkers(client),
+                decorator.apply(new PlatformWorkers(client)),
                 new PlatformCodec(),
                 DispatchPolicy.of(6_000, 400),
                 new MetricRegistry()));
@@ -321,4 +330,36 @@
         + "\",\"zone\":\"zone-1\",\"state\":\"ready\",\"labels\":[\"a\",\"r1\"],"
         + "\"capacity\":{\"cpu\":8000,\"mem-mb\":32000,\"gpu\":0}}";
   }
+
+  @DataProvider
+  public static Object[][] workerIds() {
+    return new Object[][] {{"i-0"}, {"i-1"}, {"i-2"}};
+  }
+
+  @Test(dataProvider = "workerIds")
+  public void should_run_tasks_on_the_other_workers_when_no_command_to_one_can_be_sent(String id)
+      throws Exception {
+    // given
+    startPlatform();
+    platform.configure(1);
+    WebClient client = startNode("a", workers -> failingFor(id, workers));
+    // when
+    submit(client, TWO_PHASE_JOB);
+    // then
+    await(() -> state(client).contains("completed"));
+  }
+
+  /** Throws on each command to one worker, as a fault of the client would. */
+  private static TaskWorkers failingFor(String workerId, TaskWorkers workers) {
+    InvocationHandler handler =
+        (proxy, method, arguments) -> {
+          if (arguments[0] instanceof WorkerRegistration worker && worker.id().equals(workerId)) {
+            throw new IllegalArgumentException("expected by the test");
+          }
+          return method.invoke(workers, arguments);
+        };
+    return (TaskWorkers)
+        Proxy.newProxyInstance(
+            NodeTest.class.getClassLoader(), new Class<?>[] {TaskWorkers.class}, handler);
+  }
 }
