Ignore registrations that name no address or id a request can use

Cause: any text with a colon counted as an address, and any key as that of a worker. A key outside the prefix made the codec throw (StringIndexOutOfBoundsException).

Change: an address is an IPv4 number with a port from 1 to 65535, as the network resolves no names; an id consists of visible ASCII characters, as it is sent in a header.

--- a/src/main/java/org/plantainloom/platform/PlatformCodec.java
+++ b/src/main/java/org/plantainloom/platform/PlatformCodec.java
@@ -4,6 +4,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import org.plantainloom.state.ResourceVector;
 import org.plantainloom.state.job.ClusterCodec;
 import org.plantainloom.state.job.ClusterConfig;
@@ -18,6 +20,17 @@
   private static final String WORKER_PREFIX = "servers/";
   private static final int DEFAULT_MAX_BODY_BYTES = 262_144;
 
+  /** Characters that a header can carry and a log line shows as they are. */
+  private static final Pattern WORKER_ID = Pattern.compile("[!-~]+");
+
+  /** Workers listen on IPv4; the network resolves no names. */
+  private static final Pattern ADDRESS =
+      Pattern.compile(
+          "OCTET(\\.OCTET){3}:(?<port>[0-9]{1,5})"
+              .replace("OCTET", "(25[0-5]|2[0-4][0-9]|1[0-9]{2}|[1-9]?[0-9])"));
+
+  private static final int MAX_PORT = 65_535;
+
   @Override
   public String operatorPrefix() {
     return OPERATOR_PREFIX;
@@ -76,6 +89,9 @@
 
   @Override
   public Optional<WorkerRegistration> worker(String key, String text) {
+    if (!WORKER_ID.matcher(workerId(key)).matches()) {
+      return Optional.empty();
+    }
     return PlatformJson.parse(text)
         .filter(PlatformCodec::isRegistration)
         .flatMap(
@@ -90,7 +106,7 @@
     String state = node.path("state").asText();
     return node.path("service").isTextual()
         && node.path("address").isTextual()
-        && node.path("address").asText().contains(":")
+        && isAddress(node.path("address").asText())
         && node.path("zone").isTextual()
         && node.path("state").isTextual()
         && (state.equals("ready") || state.equals("draining"))
@@ -99,6 +115,15 @@
         && node.path("labels").isArray();
   }
 
+  private static boolean isAddress(String text) {
+    Matcher matcher = ADDRESS.matcher(text);
+    if (!matcher.matches()) {
+      return false;
+    }
+    int port = Integer.parseInt(matcher.group("port"));
+    return port > 0 && port <= MAX_PORT;
+  }
+
   private WorkerRegistration worker(String key, JsonNode node, ResourceVector capacity) {
     return new WorkerRegistration(
         workerId(key),
@@ -114,6 +139,6 @@
 
   @Override
   public String workerId(String key) {
-    return key.substring(WORKER_PREFIX.length());
+    return key.startsWith(WORKER_PREFIX) ? key.substring(WORKER_PREFIX.length()) : "";
   }
 }
--- a/src/main/java/org/plantainloom/state/job/ClusterCodec.java
+++ b/src/main/java/org/plantainloom/state/job/ClusterCodec.java
@@ -25,6 +25,6 @@
   /** Returns a worker's registration, or empty if it is malformed or its worker is not usable. */
   Optional<WorkerRegistration> worker(String key, String text);
 
-  /** Returns the id of the worker that a key registers. */
+  /** Returns the id of the worker that a key registers; empty if it registers none. */
   String workerId(String key);
 }
