Reject messages with numbers out of range instead of cutting them off

Operators reported: an odd entry with a number too large made the readers of the list end.

Cause: Jackson converts a number that does not fit. 2^64 + 32000 became a capacity of 32000, 1e400 a clock or start time of 2^63 - 1, texts, null and true 0 or 1. Here that ended no process. But the end of a lease overflowed to a negative time, a poll reply with a start time such as 1e400 counted as a restart, after which all runs of the worker count as lost and start elsewhere, and the sequence number of an end such as 2^63 - 1 hides all later ends.

That the results are a false restart or a hidden end follows from WorkerReconciler; it was not run.

Change: NumberReader reads whole numbers and times from 0 to 2^53 - 1 and records whether one is invalid; such a registration names no worker, such a job is rejected and such a poll reply counts as none, so that the lease of the worker lapses rather than its runs being taken for lost. Fractions of times and of measurements are dropped as before, those of amounts and counts are invalid. A registration whose labels are not texts, or with something after its JSON, is rejected as well.

--- a/src/main/java/org/plantainloom/platform/JobJson.java
+++ b/src/main/java/org/plantainloom/platform/JobJson.java
@@ -41,6 +41,7 @@
     if (phases.isEmpty() || !body.path("spec").isTextual()) {
       return Optional.empty();
     }
+    NumberReader numbers = new NumberReader();
     JobSpec spec =
         new JobSpec(
             id,
@@ -48,10 +49,10 @@
             body.path("spec").asText(),
             phases,
             nowMs,
-            body.path("start-at-ms").asLong(),
-            body.path("period-ms").asLong(),
-            body.path("repeat-count").asInt());
-    return isWithinLimits(spec) ? Optional.of(spec) : Optional.empty();
+            numbers.time(body.path("start-at-ms")),
+            numbers.time(body.path("period-ms")),
+            numbers.wholeInt(body.path("repeat-count")));
+    return numbers.allValid() && isWithinLimits(spec) ? Optional.of(spec) : Optional.empty();
   }
 
   private static boolean isWithinLimits(JobSpec spec) {
@@ -75,10 +76,16 @@
       }
       after.add(predecessor.asInt());
     }
-    long count = node.path("count").asLong();
-    long estimateMs = node.path("estimate-ms").asLong();
+    NumberReader numbers = new NumberReader();
+    long count = numbers.wholeNumber(node.path("count"));
+    long estimateMs = numbers.time(node.path("estimate-ms"));
+    int maxPerWorker = numbers.wholeInt(node.path("anti-affinity"));
+    long tailObjectiveMs = numbers.time(node.path("target-ms"));
+    int maxUnavailable =
+        node.has("miss-allowed") ? numbers.wholeInt(node.path("miss-allowed")) : -1;
     Optional<ResourceVector> need = PlatformJson.resources(node);
     if (!node.isObject()
+        || !numbers.allValid()
         || count < 1
         || count > MAX_JOB_TASKS
         || !isDuration(estimateMs)
@@ -96,13 +103,13 @@
             node.path("same-rack").asBoolean(),
             node.path("constraints").asText(), // a single label, despite the plural
             node.path("affinity").asText(), // the rack that stores the task's data
-            node.path("anti-affinity").asInt(), // maximum tasks of the phase per worker
+            maxPerWorker,
             node.path("speculative").asBoolean(),
             node.path("long-running").asBoolean(),
             node.path("image").asText(),
-            node.path("target-ms").asLong(), // tail latency objective of the task's requests
+            tailObjectiveMs,
             node.path("utilization").asBoolean(), // whether the tasks use only idle processor time
-            node.path("miss-allowed").asInt(-1)));
+            maxUnavailable));
   }
 
   static String status(JobStatus status) {
--- a/src/main/java/org/plantainloom/platform/PlatformCodec.java
+++ b/src/main/java/org/plantainloom/platform/PlatformCodec.java
@@ -6,7 +6,6 @@
 import java.util.Optional;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
-import org.plantainloom.state.ResourceVector;
 import org.plantainloom.state.job.ClusterCodec;
 import org.plantainloom.state.job.ClusterConfig;
 import org.plantainloom.state.job.QueueConfig;
@@ -94,10 +93,7 @@
     }
     return PlatformJson.parse(text)
         .filter(PlatformCodec::isRegistration)
-        .flatMap(
-            node ->
-                PlatformJson.resources(node.path("capacity"))
-                    .map(capacity -> worker(key, node, capacity)));
+        .flatMap(node -> registration(key, node));
   }
 
   /** Other writers may put entries below the prefix that are not registrations of workers. */
@@ -112,7 +108,19 @@
         && (state.equals("ready") || state.equals("draining"))
         && capacity.path("cpu").isNumber()
         && capacity.path("mem-mb").isNumber()
-        && node.path("labels").isArray();
+        && isListOfTexts(node.path("labels"));
+  }
+
+  private static boolean isListOfTexts(JsonNode node) {
+    if (!node.isArray()) {
+      return false;
+    }
+    for (JsonNode element : node) {
+      if (!element.isTextual()) {
+        return false;
+      }
+    }
+    return true;
   }
 
   private static boolean isAddress(String text) {
@@ -124,17 +132,26 @@
     return port > 0 && port <= MAX_PORT;
   }
 
-  private WorkerRegistration worker(String key, JsonNode node, ResourceVector capacity) {
-    return new WorkerRegistration(
-        workerId(key),
-        node.path("service").asText(),
-        node.path("address").asText(),
-        node.path("zone").asText(),
-        node.path("state").asText().equals("draining"),
-        capacity,
-        PlatformJson.stringList(node.path("labels")),
-        node.path("born").asLong(),
-        node.path("server-time-ms").asLong());
+  private Optional<WorkerRegistration> registration(String key, JsonNode node) {
+    NumberReader numbers = new NumberReader();
+    long startedAtMs = numbers.wholeNumber(node.path("born"));
+    long clockMs = numbers.time(node.path("server-time-ms"));
+    if (!numbers.allValid()) {
+      return Optional.empty();
+    }
+    return PlatformJson.resources(node.path("capacity"))
+        .map(
+            capacity ->
+                new WorkerRegistration(
+                    workerId(key),
+                    node.path("service").asText(),
+                    node.path("address").asText(),
+                    node.path("zone").asText(),
+                    node.path("state").asText().equals("draining"),
+                    capacity,
+                    PlatformJson.stringList(node.path("labels")),
+                    startedAtMs,
+                    clockMs));
   }
 
   @Override
--- a/src/main/java/org/plantainloom/platform/PlatformJson.java
+++ b/src/main/java/org/plantainloom/platform/PlatformJson.java
@@ -1,8 +1,10 @@
 package org.plantainloom.platform;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.json.JsonMapper;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.ArrayList;
@@ -12,7 +14,8 @@
 
 /** Reads and creates the JSON of the platform's messages. */
 final class PlatformJson {
-  private static final ObjectMapper MAPPER = new ObjectMapper();
+  private static final ObjectMapper MAPPER =
+      JsonMapper.builder().enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS).build();
 
   /** Bounds amounts so that the sums over the runs of a worker do not overflow. */
   private static final long MAX_AMOUNT = 100_000_000;
@@ -37,21 +40,19 @@
     }
   }
 
-  /**
-   * Reads an amount of resources; a missing component is 0. Empty if one is negative or does not
-   * fit into an {@code int}: Jackson would cut it off, to a negative amount for instance.
-   */
+  /** Reads an amount of resources; a missing component is 0. Empty if one is invalid. */
   static Optional<ResourceVector> resources(JsonNode node) {
-    long cpuMillis = node.path("cpu").asLong();
-    long memoryMb = node.path("mem-mb").asLong();
-    long accelerators = node.path("gpu").asLong();
-    return isAmount(cpuMillis) && isAmount(memoryMb) && isAmount(accelerators)
+    NumberReader numbers = new NumberReader();
+    long cpuMillis = numbers.wholeNumber(node.path("cpu"));
+    long memoryMb = numbers.wholeNumber(node.path("mem-mb"));
+    long accelerators = numbers.wholeNumber(node.path("gpu"));
+    return numbers.allValid() && isAmount(cpuMillis) && isAmount(memoryMb) && isAmount(accelerators)
         ? Optional.of(new ResourceVector((int) cpuMillis, (int) memoryMb, (int) accelerators))
         : Optional.empty();
   }
 
   private static boolean isAmount(long value) {
-    return value >= 0 && value <= MAX_AMOUNT;
+    return value <= MAX_AMOUNT;
   }
 
   static List<String> stringList(JsonNode array) {
--- a/src/main/java/org/plantainloom/platform/PlatformWorkers.java
+++ b/src/main/java/org/plantainloom/platform/PlatformWorkers.java
@@ -147,31 +147,43 @@
     if (!reply.isOk() || body.isEmpty() || !body.get().path("server-time-ms").isNumber()) {
       return new PollReply.Unavailable(reply.summary());
     }
+    return snapshot(body.get())
+        .<PollReply>map(PollReply.Answered::new)
+        .orElseGet(() -> new PollReply.Unavailable("invalid number: " + reply.summary()));
+  }
+
+  /**
+   * Reads a worker's state; empty if a number in it is invalid. Without the row in question, the
+   * state would tell that a run has vanished or that an end was handled.
+   */
+  private static Optional<WorkerSnapshot> snapshot(JsonNode body) {
+    NumberReader numbers = new NumberReader();
     List<ActiveRun> running = new ArrayList<>();
-    body.get().path("running").forEach(row -> activeRun(row).ifPresent(running::add));
+    body.path("running").forEach(row -> activeRun(row, numbers).ifPresent(running::add));
     List<EndedRun> ended = new ArrayList<>();
-    body.get().path("finished").forEach(row -> endedRun(row).ifPresent(ended::add));
-    return new PollReply.Answered(
+    body.path("finished").forEach(row -> endedRun(row, numbers).ifPresent(ended::add));
+    WorkerSnapshot snapshot =
         new WorkerSnapshot(
-            body.get().path("server-time-ms").asLong(),
-            body.get().path("born").asLong(),
+            numbers.time(body.path("server-time-ms")),
+            numbers.wholeNumber(body.path("born")),
             running,
-            ended));
+            ended);
+    return numbers.allValid() ? Optional.of(snapshot) : Optional.empty();
   }
 
-  private static Optional<ActiveRun> activeRun(JsonNode row) {
+  private static Optional<ActiveRun> activeRun(JsonNode row, NumberReader numbers) {
     return TaskKey.parse(row.path(0).asText())
         .map(
             task ->
                 new ActiveRun(
                     task,
-                    row.path(1).asLong(),
+                    numbers.wholeNumber(row.path(1)),
                     row.path(2).asText(),
                     row.path(3).asInt(),
                     row.has(4) ? row.get(4).asLong() : -1));
   }
 
-  private static Optional<EndedRun> endedRun(JsonNode row) {
+  private static Optional<EndedRun> endedRun(JsonNode row, NumberReader numbers) {
     RunOutcome outcome = OUTCOMES.get(row.path(3).asText());
     if (outcome == null) {
       return Optional.empty();
@@ -180,9 +192,9 @@
         .map(
             task ->
                 new EndedRun(
-                    row.path(0).asLong(),
+                    numbers.wholeNumber(row.path(0)),
                     task,
-                    row.path(2).asLong(),
+                    numbers.wholeNumber(row.path(2)),
                     outcome,
                     row.path(4).asText()));
   }
--- a/src/test/java/org/plantainloom/platform/ForeignRegistrationTest.java
+++ b/src/test/java/org/plantainloom/platform/ForeignRegistrationTest.java
@@ -92,4 +92,57 @@
       assertThat(new PlatformCodec().worker(key, REGISTRATION)).isEmpty();
     }
   }
+
+  /** Numbers out of range and values of another type. */
+  public static class Values {
+    @DataProvider
+    public static Object[][] invalidNumbers() {
+      return new Object[][] {
+        {"1e400"},
+        {"18446744073709583616"}, // 2^64 + 32000, which is 32000 if cut off to 64 bits
+        {"9223372036854775807"},
+        {"-1"},
+        {"9".repeat(900)},
+        {"\"7\""},
+        {"true"},
+        {"null"},
+        {"[7]"}
+      };
+    }
+
+    @Test(dataProvider = "invalidNumbers")
+    public void should_ignore_a_registration_with_a_number_out_of_range(String number) {
+      assertThat(readWith("cpu", number)).isEmpty();
+      assertThat(readWith("mem-mb", number)).isEmpty();
+      assertThat(readWith("gpu", number)).isEmpty();
+      assertThat(readWith("born", number)).isEmpty();
+      assertThat(readWith("server-time-ms", number)).isEmpty();
+    }
+
+    @Test
+    public void should_ignore_a_registration_with_a_fractional_amount() {
+      assertThat(readWith("cpu", "0.5")).isEmpty();
+      assertThat(readWith("born", "0.5")).isEmpty();
+    }
+
+    @Test
+    public void should_read_whole_numbers_in_any_notation() {
+      assertThat(readWith("cpu", "3.2e4").orElseThrow().capacity().cpuMillis()).isEqualTo(32_000);
+      assertThat(readWith("born", "1700000000000").orElseThrow().startedAtMs())
+          .isEqualTo(1_700_000_000_000L);
+    }
+
+    @Test
+    public void should_ignore_a_registration_with_labels_that_are_not_texts() {
+      assertThat(readWith("labels", "[1,\"r1\"")).isEmpty();
+      assertThat(readWith("labels", "[null,\"r1\"")).isEmpty();
+      assertThat(readWith("labels", "[{},\"r1\"")).isEmpty();
+    }
+
+    @Test
+    public void should_ignore_a_registration_that_is_followed_by_something_else() {
+      assertThat(read(REGISTRATION + " {}")).isEmpty();
+      assertThat(read(REGISTRATION + "x")).isEmpty();
+    }
+  }
 }
--- a/src/test/java/org/plantainloom/platform/PlatformFormatTest.java
+++ b/src/test/java/org/plantainloom/platform/PlatformFormatTest.java
@@ -2,9 +2,11 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.List;
 import java.util.Optional;
 import org.plantainloom.state.job.JobSpec;
 import org.plantainloom.state.job.JobStatus;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 /** Tests the formats of callers' jobs and of workers' registrations. */
@@ -43,6 +45,44 @@
       assertThat(job("{\"phases\":[{\"count\":1}]}")).isEmpty();
     }
 
+    @DataProvider
+    public static Object[][] invalidNumbers() {
+      return new Object[][] {
+        {"1e400"},
+        {"18446744073709552116"}, // 2^64 + 500, which is 500 if cut off to 64 bits
+        {"9223372036854775807"},
+        {"-1"},
+        {"\"7\""},
+        {"[7]"}
+      };
+    }
+
+    /** Values that are cut off or replaced would be other than what the caller asked for. */
+    @Test(dataProvider = "invalidNumbers")
+    public void should_reject_jobs_with_numbers_out_of_range(String number) {
+      assertThat(job("{\"spec\":\"s\",\"phases\":[{\"count\":" + number + "}]}")).isEmpty();
+      for (String field : List.of("cpu", "mem-mb", "gpu", "estimate-ms", "anti-affinity")) {
+        assertThat(
+                job("{\"spec\":\"s\",\"phases\":[{\"count\":1,\"" + field + "\":" + number + "}]}"))
+            .as(field)
+            .isEmpty();
+      }
+      for (String field : List.of("start-at-ms", "period-ms", "repeat-count")) {
+        assertThat(
+                job("{\"spec\":\"s\",\"phases\":[{\"count\":1}],\"" + field + "\":" + number + "}"))
+            .as(field)
+            .isEmpty();
+      }
+    }
+
+    @Test
+    public void should_reject_jobs_with_fractional_amounts_but_not_with_fractional_times() {
+      assertThat(job("{\"spec\":\"s\",\"phases\":[{\"count\":1,\"cpu\":0.5}]}")).isEmpty();
+      assertThat(job("{\"spec\":\"s\",\"phases\":[{\"count\":1.5}]}")).isEmpty();
+      assertThat(job("{\"spec\":\"s\",\"phases\":[{\"count\":1,\"estimate-ms\":900.5}]}"))
+          .isPresent();
+    }
+
     @Test
     public void should_reject_a_phase_that_depends_on_itself() {
       assertThat(job("{\"spec\":\"s\",\"phases\":[{\"count\":1,\"after\":[0]}]}")).isEmpty();
