Do not parse entries that are too large for a registration

Operators reported: an odd entry among those of the workers ended the readers of the list.

Cause: an entry may be as large as the store's values, 1 MB. Its parsed form took up to 29 MB (a list of empty objects; 17 MB for empty lists or texts, 7 MB for numbers), measured with a scratch program under -Xmx64m -Xss256k; a node has a heap of 64 MB in all. It was parsed again with each change. A node was not seen to run out of memory.

Evidence, before the change: the four entries of ForeignRegistrationTest.Sizes were parsed in full and read as workers.

Change: a text of more than 65,536 characters is no registration and is not parsed.

The tests with deep nesting (500 to 500,000 levels, on a thread with a stack of 256 KB) passed before: Jackson stops at 1,000 levels, and its tree is built without recursion.

Ran: ForeignRegistrationTest, 58, all passed.

--- a/src/main/java/org/plantainloom/platform/PlatformCodec.java
+++ b/src/main/java/org/plantainloom/platform/PlatformCodec.java
@@ -19,6 +19,12 @@
   private static final String WORKER_PREFIX = "servers/";
   private static final int DEFAULT_MAX_BODY_BYTES = 262_144;
 
+  /**
+   * A registration takes under a thousand characters. The store accepts values of a megabyte, which
+   * would take half of a node's heap once parsed.
+   */
+  private static final int MAX_REGISTRATION_CHARS = 65_536;
+
   /** Characters that a header can carry and a log line shows as they are. */
   private static final Pattern WORKER_ID = Pattern.compile("[!-~]+");
 
@@ -88,7 +94,7 @@
 
   @Override
   public Optional<WorkerRegistration> worker(String key, String text) {
-    if (!WORKER_ID.matcher(workerId(key)).matches()) {
+    if (text.length() > MAX_REGISTRATION_CHARS || !WORKER_ID.matcher(workerId(key)).matches()) {
       return Optional.empty();
     }
     return PlatformJson.parse(text)
--- a/src/test/java/org/plantainloom/platform/ForeignRegistrationTest.java
+++ b/src/test/java/org/plantainloom/platform/ForeignRegistrationTest.java
@@ -145,4 +145,61 @@
       assertThat(read(REGISTRATION + "x")).isEmpty();
     }
   }
+
+  /** Sizes and depths. */
+  public static class Sizes {
+    /** Largest value that the store accepts. */
+    private static final int MAX_VALUE_BYTES = 1 << 20;
+
+    private static String withExtraField(String value) {
+      return REGISTRATION.substring(0, REGISTRATION.length() - 1) + ",\"x\":" + value + "}";
+    }
+
+    @DataProvider
+    public static Object[][] elements() {
+      return new Object[][] {{"{}"}, {"[]"}, {"0"}, {"\"a\""}};
+    }
+
+    /** A parsed megabyte of empty objects takes half of the heap of a node. */
+    @Test(dataProvider = "elements")
+    public void should_not_parse_an_entry_that_is_too_large_for_a_registration(String element) {
+      // given
+      String elements = (element + ",").repeat(MAX_VALUE_BYTES / (element.length() + 1) - 400);
+      // then
+      assertThat(read(withExtraField("[" + elements + element + "]"))).isEmpty();
+    }
+
+    @DataProvider
+    public static Object[][] depths() {
+      return new Object[][] {{500}, {990}, {1_100}, {50_000}, {500_000}};
+    }
+
+    @Test(dataProvider = "depths")
+    public void should_ignore_or_read_a_deeply_nested_entry_without_an_error(int depth)
+        throws Exception {
+      // given: a thread with the stack size of a node's threads
+      String nested = "[".repeat(depth) + "]".repeat(depth);
+      Optional<?>[] results = new Optional<?>[2];
+      Throwable[] failure = new Throwable[1];
+      Thread thread =
+          new Thread(
+              null,
+              () -> {
+                results[0] = read(withExtraField(nested));
+                results[1] = readWith("address", nested);
+              },
+              "reader",
+              STACK_BYTES);
+      thread.setUncaughtExceptionHandler((t, e) -> failure[0] = e);
+      // when
+      thread.start();
+      thread.join();
+      // then
+      assertThat(failure[0]).isNull();
+      assertThat(results[0]).isNotNull();
+      assertThat(results[1]).isEmpty();
+    }
+
+    private static final long STACK_BYTES = 256 << 10;
+  }
 }
