List again when the changes of a watch are too large for one reply

Operators reported: machines that read the list stopped following it. Here they would see "watch-lost" and no further change of the workers: no new worker is used, no draining one is avoided.

Cause: the store bounds a page of a list to about 1 MB of values, but not the reply to a watch call. Four changes of an entry of 1 MB (another system may write one several times a second) exceed the 4 MB that the client accepts. The watch was then repeated from the same revision, for which the reply is as large or larger each time.

Evidence, before the change: PlatformStoreTest: Unavailable[reason=0 ContentTooLargeException: maxContentLength: 4194304]. That the watch repeats the call for ever follows from PrefixWatch.

Change: such a reply counts as lost history, after which the watch lists the prefix in pages and goes on from there.

Ran: PlatformStoreTest, 1, and PlatformHttpClientTest, 14, passed.

--- a/src/main/java/org/plantainloom/platform/PlatformHttpClient.java
+++ b/src/main/java/org/plantainloom/platform/PlatformHttpClient.java
@@ -5,6 +5,7 @@
 import com.linecorp.armeria.client.UnprocessedRequestException;
 import com.linecorp.armeria.client.WebClient;
 import com.linecorp.armeria.common.AggregatedHttpResponse;
+import com.linecorp.armeria.common.ContentTooLargeException;
 import com.linecorp.armeria.common.HttpData;
 import com.linecorp.armeria.common.HttpMethod;
 import com.linecorp.armeria.common.HttpRequest;
@@ -21,7 +22,8 @@
  * HTTP client for the platform's store and workers and for other nodes.
  *
  * <p>The returned futures never complete exceptionally: a request without a response yields {@link
- * PlatformHttpReply#NO_ANSWER} or {@link PlatformHttpReply#NOT_SENT}.
+ * PlatformHttpReply#NO_RESPONSE}, {@link PlatformHttpReply#NOT_SENT} or {@link
+ * PlatformHttpReply#TOO_LARGE}.
  */
 public final class PlatformHttpClient implements AutoCloseable {
   /** Connecting takes under 2 ms within a region and under 20 ms between regions. */
@@ -99,10 +101,16 @@
 
   private static PlatformHttpReply failedReply(String url, Throwable failure) {
     Throwable cause = failure.getCause() == null ? failure : failure.getCause();
-    boolean notSent =
-        failure instanceof UnprocessedRequestException || RequestTarget.forClient(url) == null;
-    return new PlatformHttpReply(
-        notSent ? PlatformHttpReply.NOT_SENT : PlatformHttpReply.NO_RESPONSE, cause.toString());
+    return new PlatformHttpReply(failureStatus(url, failure), cause.toString());
+  }
+
+  private static int failureStatus(String url, Throwable failure) {
+    if (failure instanceof UnprocessedRequestException || RequestTarget.forClient(url) == null) {
+      return PlatformHttpReply.NOT_SENT;
+    }
+    return failure instanceof ContentTooLargeException
+        ? PlatformHttpReply.TOO_LARGE
+        : PlatformHttpReply.NO_RESPONSE;
   }
 
   @Override
--- a/src/main/java/org/plantainloom/platform/PlatformHttpReply.java
+++ b/src/main/java/org/plantainloom/platform/PlatformHttpReply.java
@@ -3,7 +3,7 @@
 /**
  * An HTTP response with its whole body, or the reason why there is none.
  *
- * @param status the HTTP status code, {@link #NO_RESPONSE} or {@link #NOT_SENT}
+ * @param status the HTTP status code, {@link #NO_RESPONSE}, {@link #NOT_SENT} or {@link #TOO_LARGE}
  * @param body the body, or a description of the failure
  */
 record PlatformHttpReply(int status, String body) {
@@ -13,6 +13,9 @@
   /** The request was not sent. */
   static final int NOT_SENT = -1;
 
+  /** The response was longer than the client accepts. */
+  static final int TOO_LARGE = -2;
+
   private static final int MAX_SUMMARY_CHARS = 80;
 
   boolean isOk() {
--- a/src/main/java/org/plantainloom/platform/PlatformStore.java
+++ b/src/main/java/org/plantainloom/platform/PlatformStore.java
@@ -104,7 +104,8 @@
         .get(address, path, waitMs + WATCH_SLACK_MS)
         .thenApply(
             reply -> {
-              if (reply.status() == 410) {
+              // Changes that are too large stay so with each attempt; a list comes in pages.
+              if (reply.status() == 410 || reply.status() == PlatformHttpReply.TOO_LARGE) {
                 return new WatchReply.HistoryLost();
               }
               Optional<JsonNode> body =
