Read values that are not UTF-8 as unreadable instead of repairing them

Operators reported: an odd entry among those of the workers ended or blinded the readers of the list.

Cause: bytes that are not UTF-8 were replaced by U+FFFD, so that an entry whose bytes can't be read could pass for a registration with another service or label.

Change: such a value is read as empty, like invalid base64, and the reader of its key rejects it.

--- a/src/main/java/org/plantainloom/platform/PlatformStore.java
+++ b/src/main/java/org/plantainloom/platform/PlatformStore.java
@@ -4,6 +4,8 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.net.URLEncoder;
+import java.nio.ByteBuffer;
+import java.nio.charset.CharacterCodingException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Base64;
@@ -222,8 +224,12 @@
 
   private static String decodeBase64(String base64) {
     try {
-      return new String(Base64.getDecoder().decode(base64), StandardCharsets.UTF_8);
-    } catch (IllegalArgumentException e) {
+      // A new decoder reports malformed input instead of replacing it.
+      return StandardCharsets.UTF_8
+          .newDecoder()
+          .decode(ByteBuffer.wrap(Base64.getDecoder().decode(base64)))
+          .toString();
+    } catch (IllegalArgumentException | CharacterCodingException e) {
       // Written by another system; the reader of the key rejects the empty text and logs that.
       return "";
     }
--- a/src/test/java/org/plantainloom/platform/PlatformStoreTest.java
+++ b/src/test/java/org/plantainloom/platform/PlatformStoreTest.java
@@ -2,12 +2,21 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import com.linecorp.armeria.common.HttpResponse;
+import com.linecorp.armeria.common.HttpStatus;
+import com.linecorp.armeria.common.MediaType;
+import com.linecorp.armeria.common.metric.NoopMeterRegistry;
+import com.linecorp.armeria.server.Server;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.Base64;
 import org.plantainloom.platform.standin.SimulatedPlatform;
 import org.plantainloom.state.store.ReadReply;
 import org.plantainloom.state.store.WatchReply;
 import org.testng.annotations.Test;
 
-/** Tests that the store can be followed beside large values of other systems. */
+/** Tests that the store can be followed beside large and unreadable values of other systems. */
 public class PlatformStoreTest {
   /** Largest value that the store accepts. */
   private static final int MAX_VALUE_BYTES = 1 << 20;
@@ -33,4 +42,36 @@
       assertThat(list).isInstanceOf(ReadReply.Found.class);
     }
   }
+
+  @Test
+  public void should_read_a_value_that_is_not_text_as_empty() {
+    // given: a registration with a byte that UTF-8 does not allow in its service
+    byte[] value = "{\"service\":\"s?\"}".getBytes(StandardCharsets.US_ASCII);
+    value[13] = (byte) 0xff;
+    String item =
+        "{\"key\":\"servers/odd\",\"revision\":5,\"value\":\""
+            + Base64.getEncoder().encodeToString(value)
+            + "\"}";
+    Server server =
+        Server.builder()
+            .http(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0))
+            .meterRegistry(NoopMeterRegistry.get())
+            .gracefulShutdownTimeoutMillis(0, 0)
+            .serviceUnder(
+                "/",
+                (ctx, request) ->
+                    HttpResponse.of(
+                        HttpStatus.OK, MediaType.JSON, "{\"items\":[" + item + "],\"at\":5}"))
+            .build();
+    server.start().join();
+    try (PlatformHttpClient client = new PlatformHttpClient()) {
+      PlatformStore store = new PlatformStore(client, "127.0.0.1:" + server.activeLocalPort());
+      // when
+      ReadReply.Found list = (ReadReply.Found) store.list("servers/").join();
+      // then
+      assertThat(list.items()).singleElement().matches(read -> read.value().isEmpty());
+    } finally {
+      server.stop().join();
+    }
+  }
 }
