Handle each entry of a list on its own

Operators reported: an odd entry ended the readers of the list, or they stopped following it.

If one entry could not be handled, all later ones of the same list were lost: those workers were not used, a configuration or a withdrawn zone was not applied until its next change. Changes were already isolated one by one.

No real entry is known to make today's codec fail.

The listener is now a class of its own, so that it can be tested.

--- a/src/main/java/org/plantainloom/transport/dispatch/ClusterView.java
+++ b/src/main/java/org/plantainloom/transport/dispatch/ClusterView.java
@@ -39,8 +39,12 @@
   public void onSnapshot(List<StoreItem> items) {
     Set<String> zones = new HashSet<>();
     for (StoreItem item : items) {
-      codec.config(item.key(), item.value()).ifPresent(this::applyConfig);
-      codec.withdrawnZone(item.key()).ifPresent(zones::add);
+      PrefixWatch.handle(
+          item.key(),
+          () -> {
+            codec.withdrawnZone(item.key()).ifPresent(zones::add);
+            codec.config(item.key(), item.value()).ifPresent(this::applyConfig);
+          });
     }
     applyWithdrawnZones(zones);
     changeListener.run();
--- a/src/main/java/org/plantainloom/transport/dispatch/OwnerSession.java
+++ b/src/main/java/org/plantainloom/transport/dispatch/OwnerSession.java
@@ -153,7 +153,7 @@
                 eventLoop,
                 delayedExecutor,
                 node.codec().workerPrefix(),
-                new WorkerListener())
+                new WorkerListener(node.codec(), dispatcher, this::scheduleRound))
             .batchChanges(HEARTBEAT_BATCH_MS)
             .start());
     startWhenLoaded();
@@ -241,46 +241,6 @@
     }
   }
 
-  private final class WorkerListener implements PrefixWatch.Listener {
-    private final Set<String> registered = new HashSet<>();
-
-    @Override
-    public void onSnapshot(List<StoreItem> items) {
-      Set<String> missing = new HashSet<>(registered);
-      for (StoreItem item : items) {
-        missing.remove(node.codec().workerId(item.key()));
-        register(item.key(), item.value());
-      }
-      missing.forEach(this::unregister);
-      scheduleRound();
-    }
-
-    @Override
-    public void onChange(StoreEvent event) {
-      if (event.value().isPresent()) {
-        register(event.key(), event.value().get());
-      } else {
-        unregister(node.codec().workerId(event.key()));
-      }
-      scheduleRound();
-    }
-
-    private void register(String key, String value) {
-      Optional<WorkerRegistration> worker = node.codec().worker(key, value);
-      if (worker.isPresent()) {
-        registered.add(worker.get().id());
-        dispatcher.workerRegistered(worker.get(), NodeContext.nowMs());
-      } else {
-        LOG.warnf("event=registration-unreadable key=%s", key);
-      }
-    }
-
-    private void unregister(String id) {
-      registered.remove(id);
-      dispatcher.workerUnregistered(id, NodeContext.nowMs());
-    }
-  }
-
   /** Passes the operators' configuration and the withdrawn zones to the dispatcher. */
   void clusterChanged() {
     dispatcher.configure(cluster.config(), NodeContext.nowMs());
--- a/src/main/java/org/plantainloom/transport/dispatch/PrefixWatch.java
+++ b/src/main/java/org/plantainloom/transport/dispatch/PrefixWatch.java
@@ -37,7 +37,10 @@
 
   /** Receives the keys and their changes, on the event loop. */
   interface Listener {
-    /** Called with all items that have the prefix; other keys with the prefix do not exist. */
+    /**
+     * Called with all items that have the prefix; other keys with the prefix do not exist. One item
+     * that cannot be handled must not keep a listener from handling the others.
+     */
     void onSnapshot(List<StoreItem> items);
 
     /** Called with one change. */
@@ -103,7 +106,7 @@
           }
           if (result instanceof ReadReply.Found found) {
             onReply();
-            pass(prefix, () -> listener.onSnapshot(found.items()));
+            handle(prefix, () -> listener.onSnapshot(found.items()));
             watch(found.revision());
           } else if (result instanceof ReadReply.Unavailable unavailable) {
             retry(unavailable.reason(), this::list);
@@ -120,7 +123,7 @@
           }
           if (result instanceof WatchReply.Changes changes) {
             onReply();
-            changes.events().forEach(event -> pass(event.key(), () -> listener.onChange(event)));
+            changes.events().forEach(event -> handle(event.key(), () -> listener.onChange(event)));
             if (batchDelayMs > 0) {
               delayedExecutor.schedule(
                   batchDelayMs, () -> runUnlessClosed(() -> watch(changes.nextRevision())));
@@ -136,12 +139,15 @@
         });
   }
 
-  /** Calls the listener; if it fails, the watch goes on, as later changes concern other keys. */
-  private void pass(String key, Runnable call) {
+  /**
+   * Handles an entry; if that fails, the failure is logged and other entries can be handled, as
+   * they concern other keys.
+   */
+  static void handle(String key, Runnable handler) {
     try {
-      call.run();
+      handler.run();
     } catch (RuntimeException | Error e) {
-      LOG.errorf(e, "event=entry-not-applied prefix=%s key=%s", prefix, key);
+      LOG.errorf(e, "event=entry-not-applied key=%s", key);
     }
   }
 
--- /dev/null
+++ b/src/main/java/org/plantainloom/transport/dispatch/WorkerListener.java
@@ -0,0 +1,68 @@
+package org.plantainloom.transport.dispatch;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.jboss.logging.Logger;
+import org.plantainloom.coordination.dispatch.Dispatcher;
+import org.plantainloom.state.job.ClusterCodec;
+import org.plantainloom.state.job.WorkerRegistration;
+import org.plantainloom.state.store.StoreEvent;
+import org.plantainloom.state.store.StoreItem;
+
+/** Passes the registrations of workers to the dispatcher. */
+final class WorkerListener implements PrefixWatch.Listener {
+  private static final Logger LOG = Logger.getLogger(WorkerListener.class);
+
+  private final ClusterCodec codec;
+  private final Dispatcher dispatcher;
+  private final Runnable changeListener;
+  private final Set<String> registered = new HashSet<>();
+
+  WorkerListener(ClusterCodec codec, Dispatcher dispatcher, Runnable changeListener) {
+    this.codec = codec;
+    this.dispatcher = dispatcher;
+    this.changeListener = changeListener;
+  }
+
+  @Override
+  public void onSnapshot(List<StoreItem> items) {
+    Set<String> missing = new HashSet<>(registered);
+    for (StoreItem item : items) {
+      PrefixWatch.handle(
+          item.key(),
+          () -> {
+            missing.remove(codec.workerId(item.key()));
+            register(item.key(), item.value());
+          });
+    }
+    missing.forEach(this::unregister);
+    changeListener.run();
+  }
+
+  @Override
+  public void onChange(StoreEvent event) {
+    if (event.value().isPresent()) {
+      register(event.key(), event.value().get());
+    } else {
+      unregister(codec.workerId(event.key()));
+    }
+    changeListener.run();
+  }
+
+  private void register(String key, String value) {
+    Optional<WorkerRegistration> worker = codec.worker(key, value);
+    if (worker.isPresent()) {
+      registered.add(worker.get().id());
+      dispatcher.workerRegistered(worker.get(), NodeContext.nowMs());
+    } else {
+      LOG.warnf("event=registration-unreadable key=%s", key);
+    }
+  }
+
+  private void unregister(String id) {
+    registered.remove(id);
+    dispatcher.workerUnregistered(id, NodeContext.nowMs());
+  }
+}
--- /dev/null
+++ b/src/test/java/org/plantainloom/transport/dispatch/WorkerListenerTest.java
@@ -0,0 +1,211 @@
+package org.plantainloom.transport.dispatch;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.plantainloom.coordination.dispatch.DispatchCommand;
+import org.plantainloom.coordination.dispatch.DispatchPolicy;
+import org.plantainloom.coordination.dispatch.Dispatcher;
+import org.plantainloom.state.ResourceVector;
+import org.plantainloom.state.job.ClusterCodec;
+import org.plantainloom.state.job.ClusterConfig;
+import org.plantainloom.state.job.CommandReply;
+import org.plantainloom.state.job.JobSpec;
+import org.plantainloom.state.job.PhaseSpec;
+import org.plantainloom.state.job.PollReply;
+import org.plantainloom.state.job.QueueConfig;
+import org.plantainloom.state.job.WorkerRegistration;
+import org.plantainloom.state.job.WorkerSnapshot;
+import org.plantainloom.state.store.StoreEvent;
+import org.plantainloom.state.store.StoreItem;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Tests how entries that are not registrations of workers affect the workers in use. */
+public class WorkerListenerTest {
+  private static final String PREFIX = "w/";
+  private static final String GOOD = "good";
+  private static final String BAD = "bad";
+  private static final String FATAL = "fatal";
+  private static final String DRAINING = "draining";
+  private static final long CLOCK_MS = 1_000;
+
+  /** After this time a draining worker without registration counts as gone. */
+  private static final long BEYOND_REREGISTRATION_MS = 3_000;
+
+  /** Longer than the longest lease, and than the time until a takeover. */
+  private static final long BEYOND_LEASE_MS = 10_000;
+
+  private final List<String> log = new ArrayList<>();
+  private Dispatcher dispatcher;
+  private WorkerListener listener;
+
+  /** Reads {@link #GOOD} as a registration and fails on {@link #FATAL}. */
+  private static final class FakeCodec implements ClusterCodec {
+    @Override
+    public String operatorPrefix() {
+      return "o/";
+    }
+
+    @Override
+    public String workerPrefix() {
+      return PREFIX;
+    }
+
+    @Override
+    public Optional<ClusterConfig> config(String key, String text) {
+      return Optional.empty();
+    }
+
+    @Override
+    public Optional<String> withdrawnZone(String key) {
+      return Optional.empty();
+    }
+
+    @Override
+    public Optional<WorkerRegistration> worker(String key, String text) {
+      if (text.equals(FATAL)) {
+        throw new StackOverflowError("expected by the test");
+      }
+      return text.equals(GOOD) || text.equals(DRAINING)
+          ? Optional.of(
+              new WorkerRegistration(
+                  workerId(key),
+                  "service",
+                  "10.0.0.1:1",
+                  "zone",
+                  text.equals(DRAINING),
+                  new ResourceVector(8_000, 32_000, 0),
+                  List.of(),
+                  0,
+                  CLOCK_MS))
+          : Optional.empty();
+    }
+
+    @Override
+    public String workerId(String key) {
+      return key.substring(PREFIX.length());
+    }
+  }
+
+  @BeforeMethod
+  public void createListener() {
+    log.clear();
+    dispatcher =
+        new Dispatcher(
+            1,
+            DispatchPolicy.of(6_000, 400),
+            (event, subject, detail) -> log.add(event + " " + subject),
+            NodeContext.nowMs());
+    dispatcher.configure(
+        new ClusterConfig(
+            1,
+            List.of(new QueueConfig("queue", "h", "/q/", "service", 0, 3, 1.5, 300, 3_000, false)),
+            List.of(),
+            1_000),
+        NodeContext.nowMs());
+    listener = new WorkerListener(new FakeCodec(), dispatcher, () -> {});
+  }
+
+  private static StoreItem item(String id, String text) {
+    return new StoreItem(PREFIX + id, text, 1);
+  }
+
+  private void change(String id, String text) {
+    listener.onChange(new StoreEvent(PREFIX + id, Optional.of(text), 2));
+  }
+
+  /** Lets all workers answer and be stored; returns those that are polled. */
+  private List<String> pollWorkers() {
+    List<String> polled = new ArrayList<>();
+    long now = NodeContext.nowMs();
+    for (DispatchCommand command : dispatcher.decide(now, 0)) {
+      if (command instanceof DispatchCommand.Poll poll) {
+        polled.add(poll.worker().id());
+        dispatcher.pollAnswered(
+            poll.worker(),
+            new PollReply.Answered(new WorkerSnapshot(CLOCK_MS, 1, List.of(), List.of())),
+            now,
+            now);
+      }
+    }
+    dispatcher.unpersistedFleet().ifPresent(dispatcher::fleetPersisted);
+    return polled;
+  }
+
+  /** Submits a job of which each worker gets one task; returns the starts. */
+  private List<DispatchCommand.Start> startTasks() {
+    PhaseSpec phase =
+        new PhaseSpec(
+            4,
+            new ResourceVector(4_000, 64, 0),
+            100,
+            List.of(),
+            false,
+            false,
+            false,
+            "",
+            "",
+            1,
+            false,
+            false,
+            "",
+            0,
+            false,
+            -1);
+    dispatcher.jobSubmitted(
+        new JobSpec("00000000000000aa", "queue", "", List.of(phase), 1, 0, 0, 0),
+        NodeContext.nowMs());
+    return dispatcher.decide(NodeContext.nowMs(), 0).stream()
+        .filter(DispatchCommand.Start.class::isInstance)
+        .map(DispatchCommand.Start.class::cast)
+        .toList();
+  }
+
+  private List<String> workersWithStarts() {
+    return startTasks().stream().map(start -> start.worker().id()).toList();
+  }
+
+  @Test
+  public void should_use_the_other_workers_of_a_snapshot_when_one_entry_fails() {
+    // when
+    listener.onSnapshot(List.of(item("a", GOOD), item("b", FATAL), item("c", GOOD)));
+    // then
+    assertThat(pollWorkers()).containsExactlyInAnyOrder("a", "c");
+    assertThat(workersWithStarts()).containsExactlyInAnyOrder("a", "c");
+  }
+
+  @Test
+  public void should_use_a_worker_again_when_its_registration_is_readable_again() {
+    // given
+    listener.onSnapshot(List.of(item("a", GOOD)));
+    pollWorkers();
+    change("a", BAD);
+    // when
+    change("a", GOOD);
+    // then
+    assertThat(workersWithStarts()).containsExactly("a");
+  }
+
+  /** A draining worker that removes its registration is gone; this one was overwritten. */
+  @Test
+  public void should_wait_for_the_lease_of_a_draining_worker_whose_registration_is_unreadable() {
+    // given
+    listener.onSnapshot(List.of(item("a", GOOD)));
+    pollWorkers();
+    DispatchCommand.Start start = startTasks().get(0);
+    long now = NodeContext.nowMs();
+    dispatcher.startAnswered(start, CommandReply.OK, now);
+    change("a", DRAINING);
+    // when
+    change("a", BAD);
+    dispatcher.pollAnswered(start.worker(), new PollReply.Unavailable("cut off"), now, now);
+    dispatcher.decide(now + BEYOND_REREGISTRATION_MS, 0);
+    // then
+    assertThat(log).contains("worker-silent a").doesNotContain("worker-lost a");
+    dispatcher.decide(now + BEYOND_LEASE_MS, 0);
+    assertThat(log).contains("worker-lost a");
+  }
+}
