Give no tasks to a worker whose registration was overwritten

Operators reported an odd entry among those of the workers. If it replaces the registration of a worker, the entry names no worker to use; here the worker stayed in use with what it had registered before.

Cause: an unreadable entry was only logged. Neither the change nor a new list of the prefix ended the earlier registration. An inherited draining worker, on the other hand, counted as gone after 2.2 s without an answer, as if it had removed its registration itself.

Evidence, before the change: WorkerListenerTest.should_start_nothing_on_a_worker_whose_registration_ becomes_unreadable and …_fails_to_be_read (tasks started on ["a", "b"] instead of ["b"], or StackOverflowError), and should_keep_an_inherited_draining_worker_… with the first part of the change.

Change: such a worker is no longer registered: it gets no tasks until it registers again, but it is polled, so that its runs keep their lease. Unlike a removal, an overwritten registration does not tell that a draining worker has left; its runs are given up only once its lease has expired.

--- a/src/main/java/org/plantainloom/coordination/dispatch/Dispatcher.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/Dispatcher.java
@@ -161,6 +161,14 @@
     workers.unregistered(workerId, nowMs);
   }
 
+  /**
+   * Handles a registration that was replaced by something else. Unlike a removal, that does not
+   * tell that the worker has left.
+   */
+  public void workerRegistrationReplaced(String workerId) {
+    workers.registrationReplaced(workerId);
+  }
+
   /**
    * Returns the workers that the next owner has to poll, or empty if the stored list is current.
    */
--- a/src/main/java/org/plantainloom/coordination/dispatch/WorkerTable.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/WorkerTable.java
@@ -129,6 +129,22 @@
     }
   }
 
+  /**
+   * Handles a registration that another system has overwritten: the worker gets no tasks until it
+   * registers again, and its runs are not given up before its lease has expired.
+   */
+  void registrationReplaced(String workerId) {
+    WorkerState worker = workers.get(workerId);
+    if (worker == null) {
+      return;
+    }
+    worker.deregistered = false;
+    if (worker.registered) {
+      worker.registered = false;
+      log.logDecision("worker-overwritten", workerId, "runs=" + worker.runs.size());
+    }
+  }
+
   /**
    * Returns the workers that the next owner has to poll, or empty if the stored list is current.
    */
--- a/src/main/java/org/plantainloom/transport/dispatch/WorkerListener.java
+++ b/src/main/java/org/plantainloom/transport/dispatch/WorkerListener.java
@@ -52,12 +52,26 @@
   }
 
   private void register(String key, String value) {
-    Optional<WorkerRegistration> worker = codec.worker(key, value);
+    Optional<WorkerRegistration> worker = read(key, value);
     if (worker.isPresent()) {
       registered.add(worker.get().id());
       dispatcher.workerRegistered(worker.get(), NodeContext.nowMs());
     } else {
-      LOG.warnf("event=registration-unreadable key=%s", key);
+      registered.remove(codec.workerId(key));
+      dispatcher.workerRegistrationReplaced(codec.workerId(key));
+    }
+  }
+
+  private Optional<WorkerRegistration> read(String key, String value) {
+    try {
+      Optional<WorkerRegistration> worker = codec.worker(key, value);
+      if (worker.isEmpty()) {
+        LOG.warnf("event=registration-unreadable key=%s", key);
+      }
+      return worker;
+    } catch (RuntimeException | Error e) {
+      LOG.errorf(e, "event=registration-unreadable key=%s", key);
+      return Optional.empty();
     }
   }
 
--- a/src/test/java/org/plantainloom/transport/dispatch/WorkerListenerTest.java
+++ b/src/test/java/org/plantainloom/transport/dispatch/WorkerListenerTest.java
@@ -8,6 +8,7 @@
 import org.plantainloom.coordination.dispatch.DispatchCommand;
 import org.plantainloom.coordination.dispatch.DispatchPolicy;
 import org.plantainloom.coordination.dispatch.Dispatcher;
+import org.plantainloom.coordination.dispatch.FleetMember;
 import org.plantainloom.state.ResourceVector;
 import org.plantainloom.state.job.ClusterCodec;
 import org.plantainloom.state.job.ClusterConfig;
@@ -177,6 +178,29 @@
     assertThat(workersWithStarts()).containsExactlyInAnyOrder("a", "c");
   }
 
+  @Test
+  public void should_start_nothing_on_a_worker_whose_registration_becomes_unreadable() {
+    // given
+    listener.onSnapshot(List.of(item("a", GOOD), item("b", GOOD)));
+    pollWorkers();
+    // when
+    change("a", BAD);
+    // then: the worker may still run tasks, so that it is polled as before
+    assertThat(pollWorkers()).contains("a");
+    assertThat(workersWithStarts()).containsExactly("b");
+  }
+
+  @Test
+  public void should_start_nothing_on_a_worker_whose_registration_fails_to_be_read() {
+    // given
+    listener.onSnapshot(List.of(item("a", GOOD), item("b", GOOD)));
+    pollWorkers();
+    // when: the store is listed again
+    listener.onSnapshot(List.of(item("a", FATAL), item("b", GOOD)));
+    // then
+    assertThat(workersWithStarts()).containsExactly("b");
+  }
+
   @Test
   public void should_use_a_worker_again_when_its_registration_is_readable_again() {
     // given
@@ -208,4 +232,20 @@
     dispatcher.decide(now + BEYOND_LEASE_MS, 0);
     assertThat(log).contains("worker-lost a");
   }
+
+  @Test
+  public void should_keep_an_inherited_draining_worker_whose_registration_is_unreadable() {
+    // given
+    WorkerRegistration draining = new FakeCodec().worker(PREFIX + "a", DRAINING).orElseThrow();
+    long now = NodeContext.nowMs();
+    dispatcher.workerInherited(new FleetMember(draining, Optional.empty()), now);
+    // when
+    listener.onSnapshot(List.of(item("a", BAD)));
+    dispatcher.pollAnswered(draining, new PollReply.Unavailable("cut off"), now, now);
+    dispatcher.decide(now + BEYOND_REREGISTRATION_MS, 0);
+    // then
+    assertThat(log).contains("worker-silent a").doesNotContain("worker-forgotten a");
+    dispatcher.decide(now + BEYOND_LEASE_MS, 0);
+    assertThat(log).contains("worker-forgotten a");
+  }
 }
