Log an unreadable registration once, not with each heartbeat

Operators would see the same warning with each write of the other system, about once a second or more often, with line breaks of its key written to the log as they are.

Change: the first unreadable entry of a key is logged with up to 80 printable characters of key and text, and again only after it was readable or removed.

--- a/src/main/java/org/plantainloom/transport/dispatch/WorkerListener.java
+++ b/src/main/java/org/plantainloom/transport/dispatch/WorkerListener.java
@@ -15,10 +15,13 @@
 final class WorkerListener implements PrefixWatch.Listener {
   private static final Logger LOG = Logger.getLogger(WorkerListener.class);
 
+  private static final int MAX_LOGGED_CHARS = 80;
+
   private final ClusterCodec codec;
   private final Dispatcher dispatcher;
   private final Runnable changeListener;
   private final Set<String> registered = new HashSet<>();
+  private final Set<String> unreadableKeys = new HashSet<>();
 
   WorkerListener(ClusterCodec codec, Dispatcher dispatcher, Runnable changeListener) {
     this.codec = codec;
@@ -38,6 +41,7 @@
           });
     }
     missing.forEach(this::unregister);
+    unreadableKeys.retainAll(items.stream().map(StoreItem::key).toList());
     changeListener.run();
   }
 
@@ -46,6 +50,7 @@
     if (event.value().isPresent()) {
       register(event.key(), event.value().get());
     } else {
+      unreadableKeys.remove(event.key());
       unregister(codec.workerId(event.key()));
     }
     changeListener.run();
@@ -63,16 +68,31 @@
   }
 
   private Optional<WorkerRegistration> read(String key, String value) {
+    Optional<WorkerRegistration> worker;
+    Throwable failure = null;
     try {
-      Optional<WorkerRegistration> worker = codec.worker(key, value);
-      if (worker.isEmpty()) {
-        LOG.warnf("event=registration-unreadable key=%s", key);
-      }
-      return worker;
+      worker = codec.worker(key, value);
     } catch (RuntimeException | Error e) {
-      LOG.errorf(e, "event=registration-unreadable key=%s", key);
-      return Optional.empty();
+      worker = Optional.empty();
+      failure = e;
+    }
+    if (worker.isPresent()) {
+      unreadableKeys.remove(key);
+    } else if (unreadableKeys.add(key)) {
+      // Only the first of a series, as its writer may repeat it with each heartbeat.
+      LOG.warnf(
+          failure,
+          "event=registration-unreadable key=%s text=%s",
+          printable(key),
+          printable(value));
     }
+    return worker;
+  }
+
+  /** Returns the start of a text that another system wrote, on one line. */
+  private static String printable(String text) {
+    String start = text.length() > MAX_LOGGED_CHARS ? text.substring(0, MAX_LOGGED_CHARS) : text;
+    return start.replaceAll("[^ -~]", "?");
   }
 
   private void unregister(String id) {
--- a/src/test/java/org/plantainloom/transport/dispatch/WorkerListenerTest.java
+++ b/src/test/java/org/plantainloom/transport/dispatch/WorkerListenerTest.java
@@ -2,6 +2,9 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import ch.qos.logback.classic.Logger;
+import ch.qos.logback.classic.spi.ILoggingEvent;
+import ch.qos.logback.core.read.ListAppender;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -21,6 +24,7 @@
 import org.plantainloom.state.job.WorkerSnapshot;
 import org.plantainloom.state.store.StoreEvent;
 import org.plantainloom.state.store.StoreItem;
+import org.slf4j.LoggerFactory;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
@@ -33,6 +37,9 @@
   private static final String DRAINING = "draining";
   private static final long CLOCK_MS = 1_000;
 
+  /** More than a line of the log may hold. */
+  private static final int LONG_TEXT_CHARS = 10_000;
+
   /** After this time a draining worker without registration counts as gone. */
   private static final long BEYOND_REREGISTRATION_MS = 3_000;
 
@@ -248,4 +255,33 @@
     dispatcher.decide(now + BEYOND_LEASE_MS, 0);
     assertThat(log).contains("worker-forgotten a");
   }
+
+  /** The other system may write its entry as often as a worker its heartbeat. */
+  @Test
+  public void should_log_an_unreadable_registration_once_until_it_changes_back_or_is_removed() {
+    // given
+    Logger logger = (Logger) LoggerFactory.getLogger(WorkerListener.class);
+    ListAppender<ILoggingEvent> lines = new ListAppender<>();
+    lines.start();
+    logger.addAppender(lines);
+    try {
+      // when
+      change("odd\nevent=stopped", BAD);
+      change("odd\nevent=stopped", BAD + "x".repeat(LONG_TEXT_CHARS));
+      change("odd\nevent=stopped", FATAL);
+      listener.onSnapshot(List.of(item("odd\nevent=stopped", BAD), item("a", BAD)));
+      // then
+      assertThat(lines.list).hasSize(2);
+      change("a", GOOD);
+      change("a", "x".repeat(LONG_TEXT_CHARS));
+      listener.onChange(new StoreEvent(PREFIX + "a", Optional.empty(), 3));
+      change("a", BAD);
+      assertThat(lines.list).hasSize(4);
+      assertThat(lines.list)
+          .extracting(ILoggingEvent::getFormattedMessage)
+          .allMatch(line -> line.length() < LONG_TEXT_CHARS && !line.contains("\n"));
+    } finally {
+      logger.detachAppender(lines);
+    }
+  }
 }
