--- a/src/main/java/org/plantainloom/platform/PlatformStore.java
+++ b/src/main/java/org/plantainloom/platform/PlatformStore.java
@@ -3,9 +3,9 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import com.linecorp.armeria.common.HttpMethod;
-import com.linecorp.armeria.common.RequestHeaders;
 import java.net.URLEncoder;
+import java.nio.ByteBuffer;
+import java.nio.charset.CharacterCodingException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Base64;
@@ -106,7 +106,8 @@
         .get(address, path, waitMs + WATCH_SLACK_MS)
         .thenApply(
             reply -> {
-              if (reply.status() == 410) {
+              // Changes that are too large stay so with each attempt; a list comes in pages.
+              if (reply.status() == 410 || reply.status() == PlatformHttpReply.TOO_LARGE) {
                 return new WatchReply.HistoryLost();
               }
               Optional<JsonNode> body =
@@ -186,10 +187,7 @@
   public CompletableFuture<LeaseReply> endLease(long leaseId) {
     String path = "/-/kv-lease-end/" + leaseId;
     return client
-        .send(
-            RequestHeaders.builder(HttpMethod.DELETE, PlatformHttpClient.url(address, path)),
-            "",
-            CALL_TIMEOUT_MS)
+        .delete(address, path, CALL_TIMEOUT_MS)
         .thenApply(
             reply ->
                 reply.isOk()
@@ -226,8 +224,12 @@
 
   private static String decodeBase64(String base64) {
     try {
-      return new String(Base64.getDecoder().decode(base64), StandardCharsets.UTF_8);
-    } catch (IllegalArgumentException e) {
+      // A new decoder reports malformed input instead of replacing it.
+      return StandardCharsets.UTF_8
+          .newDecoder()
+          .decode(ByteBuffer.wrap(Base64.getDecoder().decode(base64)))
+          .toString();
+    } catch (IllegalArgumentException | CharacterCodingException e) {
       // Written by another system; the reader of the key rejects the empty text and logs that.
       return "";
     }
--- a/src/main/java/org/plantainloom/platform/PlatformWorkers.java
+++ b/src/main/java/org/plantainloom/platform/PlatformWorkers.java
@@ -3,8 +3,6 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.linecorp.armeria.common.HttpMethod;
-import com.linecorp.armeria.common.RequestHeaders;
-import com.linecorp.armeria.common.RequestHeadersBuilder;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -90,14 +88,18 @@
 
   private CompletableFuture<CommandReply> sendCommand(
       WorkerRegistration worker, String path, ObjectNode body) {
-    return client
-        .send(headers(worker, path), body.toString(), COMMAND_TIMEOUT_MS)
-        .thenApply(PlatformWorkers::commandReply);
+    return send(worker, path, body, COMMAND_TIMEOUT_MS).thenApply(PlatformWorkers::commandReply);
   }
 
-  private static RequestHeadersBuilder headers(WorkerRegistration worker, String path) {
-    return RequestHeaders.builder(HttpMethod.POST, PlatformHttpClient.url(worker.address(), path))
-        .add("x-expected-instance", worker.id());
+  private CompletableFuture<PlatformHttpReply> send(
+      WorkerRegistration worker, String path, ObjectNode body, long timeoutMs) {
+    return client.send(
+        HttpMethod.POST,
+        worker.address(),
+        path,
+        Map.of("x-expected-instance", worker.id()),
+        body.toString(),
+        timeoutMs);
   }
 
   private static CommandReply commandReply(PlatformHttpReply reply) {
@@ -132,8 +134,7 @@
     if (waitMs > 0) {
       body.put("wait-ms", waitMs);
     }
-    return client
-        .send(headers(worker, "/-/hold"), body.toString(), waitMs + POLL_SLACK_MS)
+    return send(worker, "/-/hold", body, waitMs + POLL_SLACK_MS)
         .thenApply(PlatformWorkers::pollReply);
   }
 
@@ -146,31 +147,43 @@
     if (!reply.isOk() || body.isEmpty() || !body.get().path("server-time-ms").isNumber()) {
       return new PollReply.Unavailable(reply.summary());
     }
+    return snapshot(body.get())
+        .<PollReply>map(PollReply.Answered::new)
+        .orElseGet(() -> new PollReply.Unavailable("invalid number: " + reply.summary()));
+  }
+
+  /**
+   * Reads a worker's state; empty if a number in it is invalid. Without the row in question, the
+   * state would tell that a run has vanished or that an end was handled.
+   */
+  private static Optional<WorkerSnapshot> snapshot(JsonNode body) {
+    NumberReader numbers = new NumberReader();
     List<ActiveRun> running = new ArrayList<>();
-    body.get().path("running").forEach(row -> activeRun(row).ifPresent(running::add));
+    body.path("running").forEach(row -> activeRun(row, numbers).ifPresent(running::add));
     List<EndedRun> ended = new ArrayList<>();
-    body.get().path("finished").forEach(row -> endedRun(row).ifPresent(ended::add));
-    return new PollReply.Answered(
+    body.path("finished").forEach(row -> endedRun(row, numbers).ifPresent(ended::add));
+    WorkerSnapshot snapshot =
         new WorkerSnapshot(
-            body.get().path("server-time-ms").asLong(),
-            body.get().path("born").asLong(),
+            numbers.time(body.path("server-time-ms")),
+            numbers.wholeNumber(body.path("born")),
             running,
-            ended));
+            ended);
+    return numbers.allValid() ? Optional.of(snapshot) : Optional.empty();
   }
 
-  private static Optional<ActiveRun> activeRun(JsonNode row) {
+  private static Optional<ActiveRun> activeRun(JsonNode row, NumberReader numbers) {
     return TaskKey.parse(row.path(0).asText())
         .map(
             task ->
                 new ActiveRun(
                     task,
-                    row.path(1).asLong(),
+                    numbers.wholeNumber(row.path(1)),
                     row.path(2).asText(),
                     row.path(3).asInt(),
                     row.has(4) ? row.get(4).asLong() : -1));
   }
 
-  private static Optional<EndedRun> endedRun(JsonNode row) {
+  private static Optional<EndedRun> endedRun(JsonNode row, NumberReader numbers) {
     RunOutcome outcome = OUTCOMES.get(row.path(3).asText());
     if (outcome == null) {
       return Optional.empty();
@@ -179,9 +192,9 @@
         .map(
             task ->
                 new EndedRun(
-                    row.path(0).asLong(),
+                    numbers.wholeNumber(row.path(0)),
                     task,
-                    row.path(2).asLong(),
+                    numbers.wholeNumber(row.path(2)),
                     outcome,
                     row.path(4).asText()));
   }
--- a/src/main/java/org/plantainloom/transport/dispatch/OwnerSession.java
+++ b/src/main/java/org/plantainloom/transport/dispatch/OwnerSession.java
@@ -9,13 +9,17 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import org.jboss.logging.Logger;
 import org.plantainloom.coordination.dispatch.DecisionLog;
 import org.plantainloom.coordination.dispatch.DispatchCommand;
 import org.plantainloom.coordination.dispatch.Dispatcher;
 import org.plantainloom.protocol.MalformedMessageException;
+import org.plantainloom.state.job.CommandReply;
 import org.plantainloom.state.job.JobProgress;
 import org.plantainloom.state.job.JobSpec;
 import org.plantainloom.state.job.JobStatus;
@@ -69,6 +73,7 @@
   private final Set<String> unrestoredJobs = new HashSet<>();
 
   private final List<Runnable> deferredReplies = new ArrayList<>();
+  private final Set<String> workersWithFailedCalls = ConcurrentHashMap.newKeySet();
   private int fleetSize;
   private boolean fleetLoaded;
   private boolean loaded;
@@ -164,7 +169,7 @@
                 eventLoop,
                 delayedExecutor,
                 node.codec().workerPrefix(),
-                new WorkerListener())
+                new WorkerListener(node.codec(), dispatcher, this::scheduleRound))
             .batchChanges(HEARTBEAT_BATCH_MS)
             .start());
     startWhenLoaded();
@@ -289,46 +294,6 @@
     }
   }
 
-  private final class WorkerListener implements PrefixWatch.Listener {
-    private final Set<String> registered = new HashSet<>();
-
-    @Override
-    public void onSnapshot(List<StoreItem> items) {
-      Set<String> missing = new HashSet<>(registered);
-      for (StoreItem item : items) {
-        missing.remove(node.codec().workerId(item.key()));
-        register(item.key(), item.value());
-      }
-      missing.forEach(this::unregister);
-      scheduleRound();
-    }
-
-    @Override
-    public void onChange(StoreEvent event) {
-      if (event.value().isPresent()) {
-        register(event.key(), event.value().get());
-      } else {
-        unregister(node.codec().workerId(event.key()));
-      }
-      scheduleRound();
-    }
-
-    private void register(String key, String value) {
-      Optional<WorkerRegistration> worker = node.codec().worker(key, value);
-      if (worker.isPresent()) {
-        registered.add(worker.get().id());
-        dispatcher.workerRegistered(worker.get(), NodeContext.nowMs());
-      } else {
-        LOG.warnf("event=registration-unreadable key=%s", key);
-      }
-    }
-
-    private void unregister(String id) {
-      registered.remove(id);
-      dispatcher.workerUnregistered(id, NodeContext.nowMs());
-    }
-  }
-
   /** Passes the operators' configuration and the withdrawn zones to the dispatcher. */
   void clusterChanged() {
     dispatcher.configure(cluster.config(), NodeContext.nowMs());
@@ -382,36 +347,38 @@
   private void send(DispatchCommand order, long sentMs) {
     if (order instanceof DispatchCommand.Start start) {
       startCounter.inc();
-      eventLoop.onResult(
-          node.workers().start(start.worker(), start.command(), start.leaseUntilMs(), fencingToken),
-          reply ->
-              onReply(
-                  () -> {
-                    long now = NodeContext.nowMs();
-                    startReplyTimer.update(now - sentMs, TimeUnit.MILLISECONDS);
-                    dispatcher.startAnswered(start, reply, now);
-                  }));
+      call(
+          start.worker(),
+          () ->
+              node.workers()
+                  .start(start.worker(), start.command(), start.leaseUntilMs(), fencingToken),
+          CommandReply.UNKNOWN,
+          reply -> {
+            long now = NodeContext.nowMs();
+            startReplyTimer.update(now - sentMs, TimeUnit.MILLISECONDS);
+            dispatcher.startAnswered(start, reply, now);
+          });
     } else if (order instanceof DispatchCommand.Stop stop) {
       decisionLog.logDecision("stop-ordered", stop.task() + "#" + stop.number(), "");
-      eventLoop.onResult(
-          node.workers().stop(stop.worker(), stop.task(), stop.number(), fencingToken),
-          reply -> onReply(() -> dispatcher.stopAnswered(stop, reply, NodeContext.nowMs())));
+      call(
+          stop.worker(),
+          () -> node.workers().stop(stop.worker(), stop.task(), stop.number(), fencingToken),
+          CommandReply.UNKNOWN,
+          reply -> dispatcher.stopAnswered(stop, reply, NodeContext.nowMs()));
     } else if (order instanceof DispatchCommand.LimitCpu pace) {
       decisionLog.logDecision(
           "run-paced", pace.task() + "#" + pace.number(), "percent=" + pace.percent());
-      eventLoop.onResult(
-          node.workers()
-              .limitCpu(pace.worker(), pace.task(), pace.number(), pace.percent(), fencingToken),
-          reply -> onReply(() -> dispatcher.cpuLimitAnswered(pace, reply, NodeContext.nowMs())));
+      call(
+          pace.worker(),
+          () ->
+              node.workers()
+                  .limitCpu(
+                      pace.worker(), pace.task(), pace.number(), pace.percent(), fencingToken),
+          CommandReply.UNKNOWN,
+          reply -> dispatcher.cpuLimitAnswered(pace, reply, NodeContext.nowMs()));
     } else if (order instanceof DispatchCommand.Poll poll) {
       eventLoop.onResult(
-          node.workers()
-              .poll(
-                  poll.worker(),
-                  poll.leaseUntilMs(),
-                  poll.acknowledged(),
-                  poll.waitMs(),
-                  fencingToken),
+          poll(poll),
           reply -> {
             if (!loaded) {
               renewInheritedLease(poll.worker(), reply);
@@ -422,21 +389,65 @@
     }
   }
 
+  private CompletableFuture<PollReply> poll(DispatchCommand.Poll poll) {
+    return withoutFailure(
+        poll.worker(),
+        () ->
+            node.workers()
+                .poll(
+                    poll.worker(),
+                    poll.leaseUntilMs(),
+                    poll.acknowledged(),
+                    poll.waitMs(),
+                    fencingToken),
+        new PollReply.Unavailable("the command failed"));
+  }
+
+  private <T> void call(
+      WorkerRegistration worker,
+      Supplier<CompletableFuture<T>> command,
+      T failureReply,
+      Consumer<T> consumer) {
+    eventLoop.onResult(
+        withoutFailure(worker, command, failureReply),
+        result -> onReply(() -> consumer.accept(result)));
+  }
+
+  /**
+   * Sends a command. If the client fails, the dispatcher gets a reply all the same, and the other
+   * commands of the round are sent: it would wait for their replies for ever otherwise.
+   *
+   * @param failureReply the reply if the call fails; the command may have been sent
+   */
+  private <T> CompletableFuture<T> withoutFailure(
+      WorkerRegistration worker, Supplier<CompletableFuture<T>> command, T failureReply) {
+    CompletableFuture<T> reply;
+    try {
+      reply = command.get();
+    } catch (RuntimeException e) {
+      reply = CompletableFuture.failedFuture(e);
+    }
+    return reply.exceptionally(
+        failure -> {
+          logFailedCall(worker, failure);
+          return failureReply;
+        });
+  }
+
+  /** Logs the first failure only, as each retry is likely to fail for the same reason. */
+  private void logFailedCall(WorkerRegistration worker, Throwable failure) {
+    if (workersWithFailedCalls.add(worker.id())) {
+      LOG.errorf(failure, "event=command-failed worker=%s", worker.id());
+    }
+  }
+
   private void renewInheritedLease(WorkerRegistration worker, PollReply reply) {
     dispatcher
         .renewInheritedLease(worker, reply, NodeContext.nowMs())
         .ifPresent(
             poll ->
-                eventLoop.onResult(
-                    node.workers()
-                        .poll(
-                            poll.worker(),
-                            poll.leaseUntilMs(),
-                            poll.acknowledged(),
-                            poll.waitMs(),
-                            fencingToken),
-                    // What the worker lists is read again by the next poll.
-                    renewed -> {}));
+                // What the worker lists is read again by the next poll.
+                eventLoop.onResult(poll(poll), renewed -> {}));
   }
 
   private void onReply(Runnable action) {
--- a/src/test/java/org/plantainloom/platform/NodeTest.java
+++ b/src/test/java/org/plantainloom/platform/NodeTest.java
@@ -11,16 +11,22 @@
 import com.linecorp.armeria.common.RequestHeaders;
 import com.linecorp.armeria.common.metric.NoopMeterRegistry;
 import com.linecorp.armeria.server.Server;
+import java.lang.reflect.InvocationHandler;
+import java.lang.reflect.Proxy;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.BooleanSupplier;
+import java.util.function.UnaryOperator;
 import org.plantainloom.coordination.dispatch.DispatchPolicy;
 import org.plantainloom.platform.standin.SimulatedPlatform;
+import org.plantainloom.state.job.TaskWorkers;
+import org.plantainloom.state.job.WorkerRegistration;
 import org.plantainloom.transport.dispatch.Node;
 import org.plantainloom.transport.dispatch.NodeContext;
 import org.testng.annotations.AfterMethod;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 /** Tests whole nodes against the simulated platform. */
@@ -37,11 +43,16 @@
 
   private static final long POLL_MS = 20;
   private static final long TASK_MS = 50;
+  private static final int FOREIGN_ENTRIES = 8;
 
   private final List<AutoCloseable> resources = new ArrayList<>();
   private SimulatedPlatform platform;
 
   private WebClient startNode(String name) {
+    return startNode(name, UnaryOperator.identity());
+  }
+
+  private WebClient startNode(String name, UnaryOperator<TaskWorkers> decorator) {
     PlatformHttpClient client = new PlatformHttpClient();
     Node node =
         Node.start(
@@ -50,7 +61,7 @@
                 "127.0.0.1:1",
                 1,
                 new PlatformStore(client, platform.storeAddress()),
-                new PlatformWorkers(client),
+                decorator.apply(new PlatformWorkers(client)),
                 new PlatformOwnerPeers(client),
                 new PlatformCodec(),
                 DispatchPolicy.of(6_000, 400),
@@ -288,4 +299,69 @@
     assertThat(platform.statistics().overlaps()).isZero();
     assertThat(platform.statistics().runningTasks()).isEqualTo(3);
   }
+
+  /** Addresses for which the HTTP client cannot create a request, or cannot connect. */
+  @DataProvider
+  public static Object[][] unusableAddresses() {
+    return new Object[][] {{"10.0.0.1:99999"}, {"10.0.0.1:-1"}, {":1"}, {"a b:1"}, {"256.1.1.1:1"}};
+  }
+
+  @Test(dataProvider = "unusableAddresses")
+  public void should_run_tasks_on_the_other_workers_when_an_address_is_unusable(String address)
+      throws Exception {
+    // given: as many entries as it takes for some to be handled before the other workers
+    startPlatform();
+    platform.configure(1);
+    for (int i = 0; i < FOREIGN_ENTRIES; i++) {
+      platform.putWorkerEntry("odd-" + i, foreignEntry(address));
+    }
+    WebClient client = startNode("a");
+    // when
+    submit(client, LONG_RUNNING_JOB);
+    // then
+    await(() -> platform.statistics().runningTasks() == 3);
+    String path = SimulatedPlatform.JOB_PATH_PREFIX + "00000000000000bb";
+    await(() -> send(client, HttpMethod.POST, path, TWO_PHASE_JOB).status().code() == 200);
+    await(() -> send(client, HttpMethod.GET, path, "").contentUtf8().contains("completed"));
+    assertThat(platform.statistics().overlaps()).isZero();
+  }
+
+  private static String foreignEntry(String address) {
+    return "{\"service\":\"service\",\"address\":\""
+        + address
+        + "\",\"zone\":\"zone-1\",\"state\":\"ready\",\"labels\":[\"a\",\"r1\"],"
+        + "\"capacity\":{\"cpu\":8000,\"mem-mb\":32000,\"gpu\":0}}";
+  }
+
+  @DataProvider
+  public static Object[][] workerIds() {
+    return new Object[][] {{"i-0"}, {"i-1"}, {"i-2"}};
+  }
+
+  @Test(dataProvider = "workerIds")
+  public void should_run_tasks_on_the_other_workers_when_no_command_to_one_can_be_sent(String id)
+      throws Exception {
+    // given
+    startPlatform();
+    platform.configure(1);
+    WebClient client = startNode("a", workers -> failingFor(id, workers));
+    // when
+    submit(client, TWO_PHASE_JOB);
+    // then
+    await(() -> state(client).contains("completed"));
+  }
+
+  /** Throws on each command to one worker, as a fault of the client would. */
+  private static TaskWorkers failingFor(String workerId, TaskWorkers workers) {
+    InvocationHandler handler =
+        (proxy, method, arguments) -> {
+          if (arguments[0] instanceof WorkerRegistration worker && worker.id().equals(workerId)) {
+            throw new IllegalArgumentException("expected by the test");
+          }
+          return method.invoke(workers, arguments);
+        };
+    return (TaskWorkers)
+        Proxy.newProxyInstance(
+            NodeTest.class.getClassLoader(), new Class<?>[] {TaskWorkers.class}, handler);
+  }
 }
