Test a node beside odd entries of any kind, and describe them

NodeTest.should_run_tasks_on_the_other_workers_beside_entries_of_any_kind puts fourteen odd entries among the workers: unreadable, cut off, numbers out of range, 50,000 levels, a megabyte of empty objects, and keys that are no ids.

--- a/src/test/java/org/plantainloom/platform/NodeTest.java
+++ b/src/test/java/org/plantainloom/platform/NodeTest.java
@@ -45,6 +45,12 @@
   private static final long TASK_MS = 50;
   private static final int FOREIGN_ENTRIES = 8;
 
+  /** Far more levels than a recursive reader survives. */
+  private static final int FOREIGN_DEPTH = 50_000;
+
+  /** Nearly as many as fit into the largest value that the store accepts. */
+  private static final int FOREIGN_ELEMENTS = 340_000;
+
   private final List<AutoCloseable> resources = new ArrayList<>();
   private SimulatedPlatform platform;
 
@@ -331,6 +337,43 @@
         + "\"capacity\":{\"cpu\":8000,\"mem-mb\":32000,\"gpu\":0}}";
   }
 
+  @Test
+  public void should_run_tasks_on_the_other_workers_beside_entries_of_any_kind() throws Exception {
+    // given
+    startPlatform();
+    platform.configure(1);
+    String valid = foreignEntry("127.0.0.1:1");
+    String nested = "[".repeat(FOREIGN_DEPTH) + "]".repeat(FOREIGN_DEPTH);
+    List<String> entries =
+        List.of(
+            "",
+            "null",
+            "{}",
+            "\u0000",
+            valid.substring(0, valid.length() / 2),
+            valid.replace("\"ready\"", "\"odd\""),
+            valid.replace(":8000", ":1e400"),
+            valid.replace(":8000", ":18446744073709559616"),
+            valid.replace(":8000", ":" + nested),
+            valid.replace("[\"a\",\"r1\"]", nested),
+            valid.replace("{\"service\"", "{\"server-time-ms\":9223372036854775807,\"service\""),
+            "{\"x\":[" + "{},".repeat(FOREIGN_ELEMENTS) + "{}]," + valid.substring(1));
+    for (int i = 0; i < entries.size(); i++) {
+      platform.putWorkerEntry("odd-" + i, entries.get(i));
+    }
+    platform.putWorkerEntry("", valid);
+    platform.putWorkerEntry("a\nb", valid);
+    WebClient client = startNode("a");
+    // when
+    submit(client, LONG_RUNNING_JOB);
+    // then
+    await(() -> platform.statistics().runningTasks() == 3);
+    String path = SimulatedPlatform.JOB_PATH_PREFIX + "00000000000000bb";
+    await(() -> send(client, HttpMethod.POST, path, TWO_PHASE_JOB).status().code() == 200);
+    await(() -> send(client, HttpMethod.GET, path, "").contentUtf8().contains("completed"));
+    assertThat(platform.statistics().overlaps()).isZero();
+  }
+
   @DataProvider
   public static Object[][] workerIds() {
     return new Object[][] {{"i-0"}, {"i-1"}, {"i-2"}};
