Describe the worker of the poll reply test

Checkstyle asks for a comment on a public method of this length. Ran: checkstyle, no violations; 147 tests of the platform adapter, the dispatcher and its transport, all passed.

--- a/src/test/java/org/plantainloom/platform/PollReplyTest.java
+++ b/src/test/java/org/plantainloom/platform/PollReplyTest.java
@@ -37,6 +37,7 @@
   private Server server;
   private PlatformHttpClient client;
 
+  /** Starts a worker that answers each poll with {@link #body}. */
   @BeforeClass
   public void start() {
     server =
