--- a/src/main/java/org/plantainloom/coordination/dispatch/Dispatcher.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/Dispatcher.java
@@ -72,12 +72,6 @@
    */
   private boolean caughtUp;
 
-  /** Whether previous owners may have started tasks on workers that this owner does not know. */
-  private boolean fleetIncomplete;
-
-  /** Whether the stored list is, or is marked as, incomplete. */
-  private boolean storedFleetIncomplete;
-
   private boolean startsHeld;
 
   /**
@@ -152,19 +146,14 @@
     workers.addInherited(member, nowMs);
   }
 
-  /**
-   * Handles a stored list of workers that is unreadable or lacks some of its workers. Tasks of
-   * inherited jobs then wait until the longest lease that a previous owner may have given to an
-   * unknown worker has passed, even if all known workers answer.
-   */
+  /** Handles a stored list of workers that is unreadable or lacks some of its workers. */
   public void fleetIncomplete() {
-    fleetIncomplete = true;
-    storedFleetIncomplete = true;
+    workers.listIncomplete();
   }
 
   /** Returns whether the list of workers has to be stored as incomplete for the next owner. */
   public boolean isFleetIncomplete() {
-    return fleetIncomplete;
+    return workers.isListIncomplete();
   }
 
   /** Handles the end of the restore: all jobs of previous owners have been passed in. */
@@ -186,19 +175,12 @@
    * Returns the workers that the next owner has to poll, or empty if the stored list is current.
    */
   public Optional<List<FleetMember>> unpersistedFleet() {
-    return storedFleetIncomplete && !fleetIncomplete
-        ? Optional.of(workers.members())
-        : workers.unpersisted();
+    return workers.unpersisted();
   }
 
-  /**
-   * Handles a successful write of the list of workers.
-   *
-   * @param incomplete whether it was stored as incomplete
-   */
+  /** Handles a successful write of the list of workers, marked as incomplete or not. */
   public void fleetPersisted(List<FleetMember> members, boolean incomplete) {
-    workers.persisted(members);
-    storedFleetIncomplete = incomplete;
+    workers.persisted(members, incomplete);
   }
 
   /** Suspends or resumes starting tasks. */
@@ -267,12 +249,10 @@
       }
     }
     if (!caughtUp) {
-      boolean allConfirmed =
-          workers.all().stream().allMatch(w -> w.confirmed || w.possibleTasks.isPresent());
-      caughtUp =
-          (allConfirmed && !fleetIncomplete) || nowMs > ownedSinceMs + policy.takeoverTimeoutMs();
+      boolean allConfirmed = workers.areAllConfirmed();
+      caughtUp = allConfirmed || nowMs > ownedSinceMs + policy.takeoverTimeoutMs();
       if (caughtUp) {
-        fleetIncomplete = false;
+        workers.listComplete();
         log.logDecision(
             "caught-up", "fleet", "workers=" + workers.all().size() + " all=" + allConfirmed);
       }
--- a/src/main/java/org/plantainloom/coordination/dispatch/WorkerTable.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/WorkerTable.java
@@ -28,6 +28,12 @@
   private final Map<String, WorkerState> workers = new HashMap<>();
   private boolean hasUnpersistedRemoval;
 
+  /** Whether previous owners may have started tasks on workers that this owner does not know. */
+  private boolean listIncomplete;
+
+  /** Whether the stored list is, or is marked as, incomplete. */
+  private boolean storedListIncomplete;
+
   WorkerTable(JobTable jobs, DecisionLog log) {
     this.jobs = jobs;
     this.log = log;
@@ -59,6 +65,31 @@
     unregistered(registration.id(), nowMs);
   }
 
+  /**
+   * Handles a stored list that is unreadable or lacks some of its workers. Tasks of inherited jobs
+   * then wait until the longest lease that a previous owner may have given to an unknown worker has
+   * passed, even if all known workers answer.
+   */
+  void listIncomplete() {
+    listIncomplete = true;
+    storedListIncomplete = true;
+  }
+
+  /** Handles that unknown workers cannot run anything for previous owners any more. */
+  void listComplete() {
+    listIncomplete = false;
+  }
+
+  boolean isListIncomplete() {
+    return listIncomplete;
+  }
+
+  /** Returns whether it is known what all workers run, or may run, for previous owners. */
+  boolean areAllConfirmed() {
+    return !listIncomplete
+        && workers.values().stream().allMatch(w -> w.confirmed || w.possibleTasks.isPresent());
+  }
+
   /** Once all jobs are restored, holds back the tasks that unreachable workers may run. */
   void holdPossibleTasks() {
     for (WorkerState worker : workers.values()) {
@@ -134,17 +165,20 @@
    */
   Optional<List<FleetMember>> unpersisted() {
     boolean allPersisted = workers.values().stream().allMatch(w -> w.persisted);
-    return allPersisted && !hasUnpersistedRemoval ? Optional.empty() : Optional.of(members());
+    boolean markOutdated = storedListIncomplete && !listIncomplete;
+    return allPersisted && !hasUnpersistedRemoval && !markOutdated
+        ? Optional.empty()
+        : Optional.of(workers.values().stream().map(WorkerState::toFleetMember).toList());
   }
 
-  /** Returns all workers as they are stored for the next owner. */
-  List<FleetMember> members() {
-    return workers.values().stream().map(WorkerState::toFleetMember).toList();
-  }
-
-  /** Handles a successful write of the list. */
-  void persisted(List<FleetMember> members) {
+  /**
+   * Handles a successful write of the list.
+   *
+   * @param incomplete whether it was stored as incomplete
+   */
+  void persisted(List<FleetMember> members, boolean incomplete) {
     hasUnpersistedRemoval = false;
+    storedListIncomplete = incomplete;
     for (FleetMember member : members) {
       WorkerState worker = workers.get(member.entry().id());
       // A worker that became unreachable or reachable since then has to be written again.
