--- a/src/main/java/org/plantainloom/coordination/dispatch/Dispatcher.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/Dispatcher.java
@@ -48,12 +48,6 @@
    */
   private static final long REREGISTRATION_MS = 2_200;
 
-  /** A takeover lasts for at most some seconds, so that this interval bounds the lines. */
-  private static final long TAKEOVER_LOG_INTERVAL_MS = 1_000;
-
-  /** Workers that a line of the log names. */
-  private static final int MAX_LOGGED_WORKERS = 3;
-
   private final DispatchPolicy policy;
   private final DecisionLog log;
   private final JobTable jobs = new JobTable();
@@ -66,28 +60,12 @@
   private final TaskStarter starter;
   private final StallDetector stallDetector;
   private final WorkerTable workers;
+  private final Takeover takeover;
   private final List<DispatchCommand> pendingCommands = new ArrayList<>();
 
-  /** When the leases that previous owners gave have expired for certain. */
-  private long inheritedLeasesEndMs;
-
-  private long takeoverLoggedMs;
-
   private ClusterConfig config = ClusterConfig.UNKNOWN;
   private boolean fenced;
 
-  /**
-   * Whether it is known what the workers run for previous owners, so that inherited jobs may start
-   * tasks.
-   */
-  private boolean caughtUp;
-
-  /** Whether previous owners may have started tasks on workers that this owner does not know. */
-  private boolean fleetIncomplete;
-
-  /** Whether the stored list is, or is marked as, incomplete. */
-  private boolean storedFleetIncomplete;
-
   private boolean startsHeld;
 
   /**
@@ -99,9 +77,8 @@
   public Dispatcher(long term, DispatchPolicy policy, DecisionLog log, long nowMs) {
     this.policy = policy;
     this.log = log;
-    this.inheritedLeasesEndMs = nowMs + policy.takeoverTimeoutMs();
-    this.takeoverLoggedMs = nowMs;
     this.workers = new WorkerTable(jobs, log);
+    this.takeover = new Takeover(policy, workers, log, nowMs);
     this.runs =
         new RunLifecycle(
             jobs,
@@ -163,19 +140,14 @@
     workers.addInherited(member, nowMs);
   }
 
-  /**
-   * Handles a stored list of workers that is unreadable or lacks some of its workers. Tasks of
-   * inherited jobs then wait until the longest lease that a previous owner may have given to an
-   * unknown worker has passed, even if all known workers answer.
-   */
+  /** Handles a stored list of workers that is unreadable or lacks some of its workers. */
   public void fleetIncomplete() {
-    fleetIncomplete = true;
-    storedFleetIncomplete = true;
+    workers.listIncomplete();
   }
 
   /** Returns whether the list of workers has to be stored as incomplete for the next owner. */
   public boolean isFleetIncomplete() {
-    return fleetIncomplete;
+    return workers.isListIncomplete();
   }
 
   /** Handles the end of the restore: all jobs of previous owners have been passed in. */
@@ -205,19 +177,12 @@
    * Returns the workers that the next owner has to poll, or empty if the stored list is current.
    */
   public Optional<List<FleetMember>> unpersistedFleet() {
-    return storedFleetIncomplete && !fleetIncomplete
-        ? Optional.of(workers.members())
-        : workers.unpersisted();
+    return workers.unpersisted();
   }
 
-  /**
-   * Handles a successful write of the list of workers.
-   *
-   * @param incomplete whether it was stored as incomplete
-   */
+  /** Handles a successful write of the list of workers, marked as incomplete or not. */
   public void fleetPersisted(List<FleetMember> members, boolean incomplete) {
-    workers.persisted(members);
-    storedFleetIncomplete = incomplete;
+    workers.persisted(members, incomplete);
   }
 
   /** Suspends or resumes starting tasks. */
@@ -238,12 +203,12 @@
    * @param stoppedMs time after which none of them has sent a command
    */
   public void previousOwnersStopped(long stoppedMs) {
-    inheritedLeasesEndMs = Math.min(inheritedLeasesEndMs, stoppedMs + policy.longestLeaseMs());
+    takeover.previousOwnersStopped(stoppedMs);
   }
 
   /** Returns whether no lease of a previous owner can be valid any more. */
   public boolean areInheritedLeasesOver(long nowMs) {
-    return nowMs > inheritedLeasesEndMs;
+    return takeover.areLeasesOver(nowMs);
   }
 
   /**
@@ -293,7 +258,8 @@
     expireLeases(nowMs);
     stallDetector.stopStalledRuns(workers.all(), nowMs);
     if (!startsHeld) {
-      commands.addAll(starter.start(jobs.openJobs(), workers.all(), caughtUp, nowMs, wallMs));
+      commands.addAll(
+          starter.start(jobs.openJobs(), workers.all(), takeover.isCaughtUp(), nowMs, wallMs));
     }
     for (WorkerState worker : workers.all()) {
       addStopCommands(worker, commands, nowMs);
@@ -315,37 +281,7 @@
         }
       }
     }
-    if (!caughtUp) {
-      boolean allConfirmed =
-          workers.all().stream().allMatch(w -> w.confirmed || w.possibleTasks.isPresent());
-      caughtUp = (allConfirmed && !fleetIncomplete) || areInheritedLeasesOver(nowMs);
-      if (caughtUp) {
-        fleetIncomplete = false;
-        log.logDecision(
-            "caught-up", "fleet", "workers=" + workers.all().size() + " all=" + allConfirmed);
-      } else if (nowMs - takeoverLoggedMs >= TAKEOVER_LOG_INTERVAL_MS) {
-        takeoverLoggedMs = nowMs;
-        logUnansweredWorkers(nowMs);
-      }
-    }
-  }
-
-  /** Says for which workers the tasks of inherited jobs wait, and for how long at the most. */
-  private void logUnansweredWorkers(long nowMs) {
-    List<String> unanswered =
-        workers.all().stream()
-            .filter(worker -> !worker.confirmed && worker.possibleTasks.isEmpty())
-            .map(WorkerState::id)
-            .toList();
-    log.logDecision(
-        "takeover-waits",
-        "fleet",
-        "unanswered="
-            + unanswered.size()
-            + " first="
-            + unanswered.subList(0, Math.min(MAX_LOGGED_WORKERS, unanswered.size()))
-            + " atMostMs="
-            + (inheritedLeasesEndMs - nowMs));
+    takeover.advance(nowMs);
   }
 
   private static void addStopCommands(
--- /dev/null
+++ b/src/main/java/org/plantainloom/coordination/dispatch/Takeover.java
@@ -0,0 +1,88 @@
+package org.plantainloom.coordination.dispatch;
+
+import java.util.List;
+
+/**
+ * The takeover by a new owner: when the leases of previous owners are over, and when tasks of
+ * inherited jobs may start.
+ *
+ * <p>Fault pattern: owners and workers are lost together, several times within seconds. A worker
+ * that does not answer may run tasks until its lease has expired. That time is counted from when
+ * the previous owners stopped, if it is known, so that it does not begin again with each owner.
+ */
+final class Takeover {
+  /** A takeover lasts for at most some seconds, so that this interval bounds the lines. */
+  private static final long LOG_INTERVAL_MS = 1_000;
+
+  /** Workers that a line of the log names. */
+  private static final int MAX_LOGGED_WORKERS = 3;
+
+  private final DispatchPolicy policy;
+  private final WorkerTable workers;
+  private final DecisionLog log;
+
+  /** When the leases that previous owners gave have expired for certain. */
+  private long leasesEndMs;
+
+  /** Whether it is known what the workers run for previous owners. */
+  private boolean caughtUp;
+
+  private long loggedMs;
+
+  Takeover(DispatchPolicy policy, WorkerTable workers, DecisionLog log, long nowMs) {
+    this.policy = policy;
+    this.workers = workers;
+    this.log = log;
+    this.leasesEndMs = nowMs + policy.takeoverTimeoutMs();
+    this.loggedMs = nowMs;
+  }
+
+  /** Handles the proof that no previous owner has sent a command after a time. */
+  void previousOwnersStopped(long stoppedMs) {
+    leasesEndMs = Math.min(leasesEndMs, stoppedMs + policy.longestLeaseMs());
+  }
+
+  boolean areLeasesOver(long nowMs) {
+    return nowMs > leasesEndMs;
+  }
+
+  /** Returns whether tasks of inherited jobs may start. */
+  boolean isCaughtUp() {
+    return caughtUp;
+  }
+
+  /** Ends the takeover if that is due. */
+  void advance(long nowMs) {
+    if (caughtUp) {
+      return;
+    }
+    boolean allConfirmed = workers.areAllConfirmed();
+    caughtUp = allConfirmed || areLeasesOver(nowMs);
+    if (caughtUp) {
+      workers.listComplete();
+      log.logDecision(
+          "caught-up", "fleet", "workers=" + workers.all().size() + " all=" + allConfirmed);
+    } else if (nowMs - loggedMs >= LOG_INTERVAL_MS) {
+      loggedMs = nowMs;
+      logUnansweredWorkers(nowMs);
+    }
+  }
+
+  /** Says for which workers the tasks of inherited jobs wait, and for how long at the most. */
+  private void logUnansweredWorkers(long nowMs) {
+    List<String> unanswered =
+        workers.all().stream()
+            .filter(worker -> !worker.confirmed && worker.possibleTasks.isEmpty())
+            .map(WorkerState::id)
+            .toList();
+    log.logDecision(
+        "takeover-waits",
+        "fleet",
+        "unanswered="
+            + unanswered.size()
+            + " first="
+            + unanswered.subList(0, Math.min(MAX_LOGGED_WORKERS, unanswered.size()))
+            + " atMostMs="
+            + (leasesEndMs - nowMs));
+  }
+}
