Renew no lease after an owner has said that it stopped

Found by a review; no caller has seen it. An owner that had not read the jobs yet, and that was asked to stop while a poll was on its way, renewed the lease of the worker when the answer came: up to 0.7 s after the time that its successor counted from. The task of a worker that only the former owner reached could run twice for as long.

The renewal is now skipped once the session is closed. The list of settled owners is written before progress: under load there is always some.

--- a/src/main/java/org/plantainloom/transport/dispatch/OwnerSession.java
+++ b/src/main/java/org/plantainloom/transport/dispatch/OwnerSession.java
@@ -10,16 +10,13 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
-import java.util.function.Supplier;
 import org.jboss.logging.Logger;
 import org.plantainloom.coordination.dispatch.DecisionLog;
 import org.plantainloom.coordination.dispatch.DispatchCommand;
 import org.plantainloom.coordination.dispatch.Dispatcher;
 import org.plantainloom.protocol.MalformedMessageException;
-import org.plantainloom.state.job.CommandReply;
 import org.plantainloom.state.job.JobProgress;
 import org.plantainloom.state.job.JobSpec;
 import org.plantainloom.state.job.JobStatus;
@@ -59,6 +56,7 @@
   private final ProgressWriter progressWriter;
   private final Optional<PredecessorInquiry> predecessorInquiry;
   private final long fencingToken;
+  private final WorkerCalls calls;
   private final List<PrefixWatch> watches = new ArrayList<>();
   private final Counter startCounter;
   private final Timer startReplyTimer;
@@ -73,7 +71,6 @@
   private final Set<String> unrestoredJobs = new HashSet<>();
 
   private final List<Runnable> deferredReplies = new ArrayList<>();
-  private final Set<String> workersWithFailedCalls = ConcurrentHashMap.newKeySet();
   private int fleetSize;
   private boolean fleetLoaded;
   private boolean loaded;
@@ -94,6 +91,7 @@
     this.election = election;
     this.cluster = cluster;
     this.fencingToken = ownership.record().term();
+    this.calls = new WorkerCalls(node.workers(), fencingToken);
     // Concatenated rather than formatted, as there are up to a hundred such lines a second.
     this.decisionLog =
         (event, subject, detail) -> LOG.info("event=" + event + " id=" + subject + " " + detail);
@@ -110,6 +108,7 @@
   }
 
   private PredecessorInquiry inquire(List<OwnerRecord> predecessors) {
+    dispatcher.previousOwnersKnown();
     return new PredecessorInquiry(
             node.peers(),
             eventLoop,
@@ -347,12 +346,8 @@
   private void send(DispatchCommand order, long sentMs) {
     if (order instanceof DispatchCommand.Start start) {
       startCounter.inc();
-      call(
-          start.worker(),
-          () ->
-              node.workers()
-                  .start(start.worker(), start.command(), start.leaseUntilMs(), fencingToken),
-          CommandReply.UNKNOWN,
+      onReply(
+          calls.start(start),
           reply -> {
             long now = NodeContext.nowMs();
             startReplyTimer.update(now - sentMs, TimeUnit.MILLISECONDS);
@@ -360,106 +355,49 @@
           });
     } else if (order instanceof DispatchCommand.Stop stop) {
       decisionLog.logDecision("stop-ordered", stop.task() + "#" + stop.number(), "");
-      call(
-          stop.worker(),
-          () -> node.workers().stop(stop.worker(), stop.task(), stop.number(), fencingToken),
-          CommandReply.UNKNOWN,
-          reply -> dispatcher.stopAnswered(stop, reply, NodeContext.nowMs()));
+      onReply(calls.stop(stop), reply -> dispatcher.stopAnswered(stop, reply, NodeContext.nowMs()));
     } else if (order instanceof DispatchCommand.LimitCpu pace) {
       decisionLog.logDecision(
           "run-paced", pace.task() + "#" + pace.number(), "percent=" + pace.percent());
-      call(
-          pace.worker(),
-          () ->
-              node.workers()
-                  .limitCpu(
-                      pace.worker(), pace.task(), pace.number(), pace.percent(), fencingToken),
-          CommandReply.UNKNOWN,
+      onReply(
+          calls.limitCpu(pace),
           reply -> dispatcher.cpuLimitAnswered(pace, reply, NodeContext.nowMs()));
     } else if (order instanceof DispatchCommand.Poll poll) {
-      eventLoop.onResult(
-          poll(poll),
-          reply -> {
-            if (!loaded) {
-              renewInheritedLease(poll.worker(), reply);
-            }
-            onReply(
-                () -> dispatcher.pollAnswered(poll.worker(), reply, sentMs, NodeContext.nowMs()));
-          });
-    }
-  }
-
-  private CompletableFuture<PollReply> poll(DispatchCommand.Poll poll) {
-    return withoutFailure(
-        poll.worker(),
-        () ->
-            node.workers()
-                .poll(
-                    poll.worker(),
-                    poll.leaseUntilMs(),
-                    poll.acknowledged(),
-                    poll.waitMs(),
-                    fencingToken),
-        new PollReply.Unavailable("the command failed"));
-  }
-
-  private <T> void call(
-      WorkerRegistration worker,
-      Supplier<CompletableFuture<T>> command,
-      T failureReply,
-      Consumer<T> consumer) {
-    eventLoop.onResult(
-        withoutFailure(worker, command, failureReply),
-        result -> onReply(() -> consumer.accept(result)));
-  }
-
-  /**
-   * Sends a command. If the client fails, the dispatcher gets a reply all the same, and the other
-   * commands of the round are sent: it would wait for their replies for ever otherwise.
-   *
-   * @param failureReply the reply if the call fails; the command may have been sent
-   */
-  private <T> CompletableFuture<T> withoutFailure(
-      WorkerRegistration worker, Supplier<CompletableFuture<T>> command, T failureReply) {
-    CompletableFuture<T> reply;
-    try {
-      reply = command.get();
-    } catch (RuntimeException e) {
-      reply = CompletableFuture.failedFuture(e);
-    }
-    return reply.exceptionally(
-        failure -> {
-          logFailedCall(worker, failure);
-          return failureReply;
-        });
-  }
-
-  /** Logs the first failure only, as each retry is likely to fail for the same reason. */
-  private void logFailedCall(WorkerRegistration worker, Throwable failure) {
-    if (workersWithFailedCalls.add(worker.id())) {
-      LOG.errorf(failure, "event=command-failed worker=%s", worker.id());
+      CompletableFuture<PollReply> call = calls.poll(poll);
+      if (!loaded) {
+        eventLoop.onResult(call, reply -> renewInheritedLease(poll.worker(), reply));
+      }
+      onReply(
+          call,
+          reply -> dispatcher.pollAnswered(poll.worker(), reply, sentMs, NodeContext.nowMs()));
     }
   }
 
   private void renewInheritedLease(WorkerRegistration worker, PollReply reply) {
+    if (closed || loaded) {
+      return;
+    }
     dispatcher
         .renewInheritedLease(worker, reply, NodeContext.nowMs())
-        .ifPresent(
-            poll ->
-                // What the worker lists is read again by the next poll.
-                eventLoop.onResult(poll(poll), renewed -> {}));
+        // What the worker lists is read again by the next poll.
+        .ifPresent(poll -> eventLoop.onResult(calls.poll(poll), renewed -> {}));
   }
 
-  private void onReply(Runnable action) {
-    if (closed) {
-      return;
-    }
-    if (loaded) {
-      action.run();
-      scheduleRound();
-    } else {
-      deferredReplies.add(action);
-    }
+  /** Passes a reply on, or keeps it until the jobs have been read. */
+  private <T> void onReply(CompletableFuture<T> call, Consumer<T> consumer) {
+    eventLoop.onResult(
+        call,
+        reply -> {
+          if (closed) {
+            return;
+          }
+          if (loaded) {
+            consumer.accept(reply);
+            scheduleRound();
+          } else {
+            deferredReplies.add(() -> consumer.accept(reply));
+          }
+        });
   }
 
   private void runUnlessClosed(Runnable action) {
--- a/src/main/java/org/plantainloom/transport/dispatch/ProgressWriter.java
+++ b/src/main/java/org/plantainloom/transport/dispatch/ProgressWriter.java
@@ -78,11 +78,13 @@
       persistFleet(fleet.get());
       return;
     }
+    if (!ownersSettled && dispatcher.areInheritedLeasesOver(NodeContext.nowMs())) {
+      persistSettledOwners();
+      return;
+    }
     Optional<ProgressBatch> batch = dispatcher.unpersistedProgress();
     if (batch.isPresent()) {
       persistProgress(batch.get());
-    } else if (!ownersSettled && dispatcher.areInheritedLeasesOver(NodeContext.nowMs())) {
-      persistSettledOwners();
     } else if (NodeContext.nowMs() - lastRemovalMs > REMOVAL_INTERVAL_MS) {
       removeFinishedJobs();
     }
