Own the workers again after a request to stop with an absurd term

Found by a review. A node that was asked to stop below a term which no owner has, by a damaged request, committed claims and took none, for ever. The term of a request now only holds for a claim that is on its way: each new claim reads the stored term, which the asking owner has raised before. Only POST requests are answered.

Tests: the node owns the workers again; its answer counts from the end of its ownership, not from the start of its process; a new owner asks the one before it and lists it until its leases are over.

--- a/src/main/java/org/plantainloom/platform/PlatformOwnerPeers.java
+++ b/src/main/java/org/plantainloom/platform/PlatformOwnerPeers.java
@@ -1,6 +1,7 @@
 package org.plantainloom.platform;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import com.linecorp.armeria.common.HttpMethod;
 import com.linecorp.armeria.common.HttpResponse;
 import com.linecorp.armeria.common.HttpStatus;
 import com.linecorp.armeria.common.MediaType;
@@ -17,7 +18,7 @@
 
   private static final String IDLE_FIELD = "idleMs";
 
-  /** A round trip takes at most 16 ms; a node that has just started answers later. */
+  /** A round trip takes at most 16 ms; without an answer the node is asked again. */
   private static final long TIMEOUT_MS = 400;
 
   private final PlatformHttpClient client;
@@ -45,10 +46,10 @@
         : Optional.empty();
   }
 
-  /** Answers another node; empty if the path is not that of such a request. */
-  public static Optional<HttpResponse> answer(Node node, String path) {
+  /** Answers another node; empty if the method and path are not those of such a request. */
+  public static Optional<HttpResponse> answer(Node node, HttpMethod method, String path) {
     String prefix = PATH + node.name() + "/";
-    if (!path.startsWith(prefix)) {
+    if (method != HttpMethod.POST || !path.startsWith(prefix)) {
       return Optional.empty();
     }
     try {
--- a/src/main/java/org/plantainloom/program/node/NodeProcess.java
+++ b/src/main/java/org/plantainloom/program/node/NodeProcess.java
@@ -103,7 +103,7 @@
             return HttpResponse.of(MediaType.PLAIN_TEXT_UTF_8, MetricsText.of(metrics));
           }
           return OwnerQueries.answer(node, path)
-              .or(() -> PlatformOwnerPeers.answer(node, path))
+              .or(() -> PlatformOwnerPeers.answer(node, ctx.method(), path))
               .orElseGet(() -> HttpResponse.of(HttpStatus.NOT_FOUND));
         };
     return builder
--- a/src/main/java/org/plantainloom/transport/dispatch/OwnerElection.java
+++ b/src/main/java/org/plantainloom/transport/dispatch/OwnerElection.java
@@ -58,7 +58,7 @@
   private boolean renewing;
   private boolean resigned;
 
-  /** Terms below this have an owner already, which has asked this node. */
+  /** A claim that is on its way has to be of this term at least: a newer owner has asked. */
   private long smallestTerm;
 
   private long lastRenewalMs;
@@ -249,6 +249,8 @@
       campaigning = false;
       return;
     }
+    // The owners that have asked until now committed their terms before this read.
+    smallestTerm = 0;
     long sentMs = NodeContext.nowMs();
     eventLoop.onResult(
         node.store().read(StoreKeys.TERM),
--- a/src/test/java/org/plantainloom/platform/PlatformOwnerPeersTest.java
+++ b/src/test/java/org/plantainloom/platform/PlatformOwnerPeersTest.java
@@ -9,11 +9,17 @@
 import com.linecorp.armeria.server.Server;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.util.Optional;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import org.plantainloom.coordination.dispatch.DispatchPolicy;
 import org.plantainloom.platform.standin.SimulatedPlatform;
 import org.plantainloom.transport.dispatch.Node;
 import org.plantainloom.transport.dispatch.NodeContext;
+import org.plantainloom.transport.dispatch.OwnerPeers;
 import org.plantainloom.transport.dispatch.OwnerRecord;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
@@ -23,6 +29,10 @@
 public class PlatformOwnerPeersTest {
   private static final long AWAIT_TIMEOUT_MS = 30_000;
   private static final long POLL_MS = 20;
+
+  /** How long the process has run before its node was created. */
+  private static final long PROCESS_AGE_MS = 3_600_000;
+
   private static final String UNSETTLED_OWNERS_KEY = "pl/unsettled-owners";
 
   private SimulatedPlatform platform;
@@ -36,19 +46,7 @@
     platform = SimulatedPlatform.start(1, 50);
     platform.configure(1);
     client = new PlatformHttpClient();
-    node =
-        Node.start(
-            new NodeContext(
-                "a",
-                "127.0.0.1:1",
-                1,
-                new PlatformStore(client, platform.storeAddress()),
-                new PlatformWorkers(client),
-                new PlatformOwnerPeers(client),
-                new PlatformCodec(),
-                DispatchPolicy.of(6_000, 400),
-                new MetricRegistry(),
-                NodeContext.nowMs()));
+    node = startNode("a", new PlatformOwnerPeers(client));
     server =
         Server.builder()
             .http(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0))
@@ -57,15 +55,11 @@
             .serviceUnder(
                 "/",
                 (ctx, request) ->
-                    PlatformOwnerPeers.answer(node, ctx.path())
+                    PlatformOwnerPeers.answer(node, ctx.method(), ctx.path())
                         .orElseGet(() -> HttpResponse.of(HttpStatus.NOT_FOUND)))
             .build();
     server.start().join();
-    long deadlineMs = System.nanoTime() / 1_000_000 + AWAIT_TIMEOUT_MS;
-    while (!isOwner() && System.nanoTime() / 1_000_000 < deadlineMs) {
-      TimeUnit.MILLISECONDS.sleep(POLL_MS);
-    }
-    assertThat(isOwner()).isTrue();
+    await(this::isOwner);
   }
 
   /** Stops the node before its client, and the platform last. */
@@ -77,6 +71,29 @@
     platform.close();
   }
 
+  private Node startNode(String name, OwnerPeers peers) {
+    return Node.start(
+        new NodeContext(
+            name,
+            "127.0.0.1:1",
+            1,
+            new PlatformStore(client, platform.storeAddress()),
+            new PlatformWorkers(client),
+            peers,
+            new PlatformCodec(),
+            DispatchPolicy.of(6_000, 400),
+            new MetricRegistry(),
+            NodeContext.nowMs() - PROCESS_AGE_MS));
+  }
+
+  private static void await(BooleanSupplier condition) throws InterruptedException {
+    long deadlineMs = System.nanoTime() / 1_000_000 + AWAIT_TIMEOUT_MS;
+    while (!condition.getAsBoolean() && System.nanoTime() / 1_000_000 < deadlineMs) {
+      TimeUnit.MILLISECONDS.sleep(POLL_MS);
+    }
+    assertThat(condition.getAsBoolean()).isTrue();
+  }
+
   private boolean isOwner() {
     return node.pendingJobs("any").join().isPresent();
   }
@@ -89,9 +106,18 @@
   public void should_make_the_node_give_up_an_older_ownership() {
     // when
     var idleMs = new PlatformOwnerPeers(client).stopOwnership(owner("a"), 2).join();
-    // then
-    assertThat(idleMs).hasValueSatisfying(idle -> assertThat(idle).isNotNegative());
+    // then: counted from the end of the ownership, not from the start of the process
+    assertThat(idleMs).hasValueSatisfying(idle -> assertThat(idle).isBetween(0L, PROCESS_AGE_MS));
+    assertThat(isOwner()).isFalse();
+  }
+
+  @Test
+  public void should_own_the_workers_again_after_a_request_with_an_absurd_term() throws Exception {
+    // when
+    new PlatformOwnerPeers(client).stopOwnership(owner("a"), Long.MAX_VALUE).join();
     assertThat(isOwner()).isFalse();
+    // then: once its key has expired
+    await(this::isOwner);
   }
 
   @Test
@@ -99,7 +125,8 @@
     // when
     var idleMs = new PlatformOwnerPeers(client).stopOwnership(owner("a"), 1).join();
     // then
-    assertThat(idleMs).isPresent();
+    assertThat(idleMs)
+        .hasValueSatisfying(idle -> assertThat(idle).isGreaterThanOrEqualTo(PROCESS_AGE_MS));
     assertThat(isOwner()).isTrue();
   }
 
@@ -112,6 +139,29 @@
     assertThat(isOwner()).isTrue();
   }
 
+  @Test
+  public void should_ask_the_previous_owner_and_list_it_until_its_leases_are_over()
+      throws Exception {
+    // given
+    BlockingQueue<OwnerRecord> asked = new LinkedBlockingQueue<>();
+    OwnerPeers recordingPeers =
+        (owner, term) -> {
+          asked.add(owner);
+          return CompletableFuture.completedFuture(Optional.of(0L));
+        };
+    // when
+    node.resign().join();
+    Node successor = startNode("b", recordingPeers);
+    try {
+      // then
+      assertThat(asked.poll(AWAIT_TIMEOUT_MS, TimeUnit.MILLISECONDS).node()).isEqualTo("a");
+      await(() -> !platform.storedValue(UNSETTLED_OWNERS_KEY).contains("\"node\":\"a\""));
+      assertThat(platform.storedValue(UNSETTLED_OWNERS_KEY)).contains("\"node\":\"b\"");
+    } finally {
+      successor.close();
+    }
+  }
+
   @Test
   public void should_store_the_owner_for_the_inquiry_of_the_next_one() {
     // then
