--- a/src/test/java/org/plantainloom/platform/MalformedMessageTest.java
+++ b/src/test/java/org/plantainloom/platform/MalformedMessageTest.java
@@ -19,6 +19,7 @@
 import org.plantainloom.state.job.TaskKey;
 import org.plantainloom.state.job.WorkerRegistration;
 import org.plantainloom.state.store.Transaction;
+import org.plantainloom.support.MessageMutator;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
--- a/src/test/java/org/plantainloom/platform/MessageMutator.java
+++ b/src/test/java/org/plantainloom/support/MessageMutator.java
@@ -1,10 +1,10 @@
-package org.plantainloom.platform;
+package org.plantainloom.support;
 
 import java.util.List;
 import java.util.Random;
 
 /** Damages JSON texts in reproducible ways: cuts, replaced values, repeated and swapped parts. */
-final class MessageMutator {
+public final class MessageMutator {
   private static final List<String> VALUES =
       List.of(
           "null",
@@ -28,12 +28,13 @@
 
   private final Random random;
 
-  MessageMutator(long seed) {
+  /** Creates a mutator; equal seeds give equal changes. */
+  public MessageMutator(long seed) {
     this.random = new Random(seed);
   }
 
   /** Returns the text with one to three changes. */
-  String mutate(String text) {
+  public String mutate(String text) {
     String mutated = text;
     for (int changes = 1 + random.nextInt(MAX_CHANGES); changes > 0; changes--) {
       mutated = change(mutated);
