Report an unusable address as a missing response

Operators saw: once one worker was listed with an address that is no host and port, the workers listed after it got no control message any more, and their leases lapsed.

Cause: Armeria throws before it connects, the exception left the client's call and ended the round of the rack driver after each of the round's messages had been recorded as sent. A gateway's watcher of routes would have counted its poll as pending for good.

A port out of range alone passed before.

Change: the client returns its missing response, as for a process that does not answer; callers handle that already.

Ran: JsonClientTest, RackDriverTest, green.

--- a/src/main/java/org/plantainloom/transport/http/JsonClient.java
+++ b/src/main/java/org/plantainloom/transport/http/JsonClient.java
@@ -74,13 +74,19 @@
 
   /** Sends a GET. */
   public CompletableFuture<HttpReply> get(String address, String path, long timeoutMs) {
-    return send(RequestHeaders.builder(HttpMethod.GET, url(address, path)), "", timeoutMs);
+    return send(HttpMethod.GET, address, path, "", timeoutMs);
   }
 
   /** Sends a request with a JSON body. */
   public CompletableFuture<HttpReply> send(
       HttpMethod method, String address, String path, String body, long timeoutMs) {
-    return send(RequestHeaders.builder(method, url(address, path)), body, timeoutMs);
+    RequestHeadersBuilder headers;
+    try {
+      headers = RequestHeaders.builder(method, url(address, path));
+    } catch (RuntimeException e) {
+      return unusableAddress(e);
+    }
+    return send(headers, body, timeoutMs);
   }
 
   /** Sends a request with a JSON body and further headers. */
@@ -91,10 +97,21 @@
       headers.contentType(MediaType.JSON_UTF_8);
     }
     RequestOptions options = RequestOptions.builder().responseTimeoutMillis(timeoutMs).build();
-    return client
-        .execute(HttpRequest.of(headers.build(), HttpData.ofUtf8(body)), options)
+    HttpResponse response;
+    try {
+      response = client.execute(HttpRequest.of(headers.build(), HttpData.ofUtf8(body)), options);
+    } catch (RuntimeException e) {
+      return unusableAddress(e);
+    }
+    return response
         .aggregate()
-        .handle((response, failure) -> failure == null ? reply(response) : missing(failure));
+        .handle((received, failure) -> failure == null ? reply(received) : missing(failure));
+  }
+
+  // Armeria throws before it connects if the address is not one of a host and port. Callers that
+  // send to many addresses would otherwise not reach those after this one.
+  private static CompletableFuture<HttpReply> unusableAddress(RuntimeException failure) {
+    return CompletableFuture.completedFuture(missing(failure));
   }
 
   /** Returns the URL of a path at an address. */
