Reject records with missing or impossible values where they are decoded

Operators saw: one entry of another writer without a field, or with a number out of range, ended each round of a scheduler for all racks or teams.

Cause: the decoder filled missing components with null or 0, and accepted fractions, ordinals of enums and negative amounts. The error came later, in the round that met the value, and again in each following round.

--- a/src/main/java/org/plantainloom/protocol/Json.java
+++ b/src/main/java/org/plantainloom/protocol/Json.java
@@ -31,7 +31,12 @@
       JsonMapper.builder()
           .addModule(new Jdk8Module())
           .addModule(stringTypes())
+          .annotationIntrospector(new RequiredComponents())
           .disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
+          .enable(DeserializationFeature.FAIL_ON_NUMBERS_FOR_ENUMS)
+          .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
+          .disable(DeserializationFeature.ACCEPT_FLOAT_AS_INT)
+          .disable(MapperFeature.ALLOW_COERCION_OF_SCALARS)
           .disable(MapperFeature.AUTO_DETECT_IS_GETTERS)
           .serializationInclusion(JsonInclude.Include.NON_ABSENT)
           .build();
@@ -62,6 +67,9 @@
    * @throws MalformedMessageException if the text is not valid JSON of that type
    */
   public static <T> T read(String text, Class<T> type) {
+    if (text == null) {
+      throw MalformedMessageException.of(type, "no text", null);
+    }
     try {
       T value = MAPPER.readValue(text, type);
       if (value == null) {
@@ -76,6 +84,7 @@
   /** Maps the types that JSON represents as strings, both as values and as keys. */
   private static SimpleModule stringTypes() {
     SimpleModule module = new SimpleModule("names");
+    module.setDeserializerModifier(new RecordRules());
     add(module, WorkerId.class, WorkerId::new);
     add(module, RackId.class, RackId::new);
     add(module, ZoneName.class, ZoneName::new);
