--- a/src/main/java/org/plantainloom/transport/http/JsonClient.java
+++ b/src/main/java/org/plantainloom/transport/http/JsonClient.java
@@ -17,7 +17,6 @@
 import com.linecorp.armeria.common.metric.NoopMeterRegistry;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Function;
-import org.jboss.logging.Logger;
 import org.plantainloom.protocol.Headers;
 import org.plantainloom.protocol.MalformedMessageException;
 import org.plantainloom.state.HybridClock;
@@ -28,7 +27,6 @@
  * response is an {@link HttpReply} too.
  */
 public final class JsonClient implements AutoCloseable {
-  private static final Logger LOG = Logger.getLogger(JsonClient.class);
   private static final long CONNECT_TIMEOUT_MS = 1_000;
   private static final long IDLE_TIMEOUT_MS = 10_000;
   private static final long MAX_RESPONSE_BYTES = 16L << 20;
@@ -127,13 +125,23 @@
     return new HttpReply(response.status().code(), response.contentUtf8());
   }
 
-  /** Returns a decoder that returns the fallback if the response has malformed JSON. */
-  public static <T> Function<HttpReply, T> decoding(Function<HttpReply, T> decode, T fallback) {
+  /**
+   * Returns a decoder that returns the fallback if the response has malformed JSON.
+   *
+   * @param errors logs malformed responses
+   * @param source what responds, for the log
+   */
+  public static <T> Function<HttpReply, T> decoding(
+      DecodeErrorLog errors, String source, Function<HttpReply, T> decode, T fallback) {
     return reply -> {
       try {
-        return decode.apply(reply);
+        T decoded = decode.apply(reply);
+        if (reply.isSuccess()) {
+          errors.readable(source);
+        }
+        return decoded;
       } catch (MalformedMessageException e) {
-        LOG.warnf("malformed response: %s", e.getMessage());
+        errors.failed(source, e);
         return fallback;
       }
     };
--- a/src/main/java/org/plantainloom/transport/platform/HttpKeyValueStore.java
+++ b/src/main/java/org/plantainloom/transport/platform/HttpKeyValueStore.java
@@ -13,6 +13,7 @@
 import org.plantainloom.state.ReadResult;
 import org.plantainloom.state.StoreEntry;
 import org.plantainloom.state.WriteResult;
+import org.plantainloom.transport.http.DecodeErrorLog;
 import org.plantainloom.transport.http.HttpReply;
 import org.plantainloom.transport.http.JsonClient;
 
@@ -29,6 +30,7 @@
   private final JsonClient client;
   private final String address;
   private final StoreCallMeters meters;
+  private final DecodeErrorLog errors = new DecodeErrorLog();
 
   /** Creates the adapter to the service at the address. */
   public HttpKeyValueStore(JsonClient client, String address, MetricRegistry metrics) {
@@ -42,7 +44,8 @@
     meters.read();
     return client
         .get(address, path(key), TIMEOUT_MS)
-        .thenApply(JsonClient.decoding(this::readResult, MALFORMED_READ));
+        .thenApply(
+            JsonClient.decoding(errors, "store reply on " + key, this::readResult, MALFORMED_READ));
   }
 
   private ReadResult readResult(HttpReply reply) {
@@ -62,7 +65,9 @@
     meters.list();
     return client
         .get(address, "/kv/?prefix=" + prefix, TIMEOUT_MS)
-        .thenApply(JsonClient.decoding(this::entries, Optional.empty()));
+        .thenApply(
+            JsonClient.decoding(
+                errors, "store list of " + prefix, this::entries, Optional.empty()));
   }
 
   private Optional<List<StoreEntry>> entries(HttpReply reply) {
@@ -89,7 +94,9 @@
   private CompletableFuture<WriteResult> put(String path, String value) {
     return client
         .send(HttpMethod.PUT, address, path, value, TIMEOUT_MS)
-        .thenApply(JsonClient.decoding(this::writeResult, MALFORMED_WRITE));
+        .thenApply(
+            JsonClient.decoding(
+                errors, "store reply to a write", this::writeResult, MALFORMED_WRITE));
   }
 
   private WriteResult writeResult(HttpReply reply) {
@@ -109,7 +116,8 @@
     String path = path(key) + "?watch=" + knownRevision + "&waitMs=" + waitMs;
     return client
         .get(address, path, waitMs + WATCH_EXTRA_TIMEOUT_MS)
-        .thenApply(JsonClient.decoding(this::readResult, MALFORMED_READ));
+        .thenApply(
+            JsonClient.decoding(errors, "store reply on " + key, this::readResult, MALFORMED_READ));
   }
 
   private static String path(String key) {
--- a/src/main/java/org/plantainloom/transport/platform/HttpVmList.java
+++ b/src/main/java/org/plantainloom/transport/platform/HttpVmList.java
@@ -5,6 +5,7 @@
 import org.plantainloom.protocol.Json;
 import org.plantainloom.state.VmList;
 import org.plantainloom.state.VmListing;
+import org.plantainloom.transport.http.DecodeErrorLog;
 import org.plantainloom.transport.http.JsonClient;
 
 /** Adapter to the platform's list of VMs. */
@@ -13,6 +14,7 @@
 
   private final JsonClient client;
   private final String address;
+  private final DecodeErrorLog errors = new DecodeErrorLog();
 
   /** Creates the adapter to the list at the address. */
   public HttpVmList(JsonClient client, String address) {
@@ -26,6 +28,8 @@
         .get(address, "/vms", TIMEOUT_MS)
         .thenApply(
             JsonClient.decoding(
+                errors,
+                "VM list",
                 reply ->
                     reply.isSuccess()
                         ? Optional.of(Json.read(reply.body(), VmListing.class))
--- /dev/null
+++ b/src/test/java/org/plantainloom/transport/platform/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the adapters to the platform. */
+package org.plantainloom.transport.platform;
