Read the VM list entry by entry

Operators saw: one odd entry hid all other workers of the list; new workers were not used and changes not noticed as long as it stayed.

Cause: the list was decoded as a whole. Nesting beyond 1,000 levels or a number of more than 1,000 digits ends the parser wherever it stands.

Evidence: HttpVmListTest failed for its 28 entries (an empty listing, or the odd worker listed), and for repaired and logged replies.

Change: the parser skips an entry without recursion and without evaluating its numbers; each entry is then decoded alone, within the parser's limits. An unreadable one is logged once and names no worker.

Ran: HttpVmListTest, green.

--- a/src/main/java/org/plantainloom/transport/platform/HttpVmList.java
+++ b/src/main/java/org/plantainloom/transport/platform/HttpVmList.java
@@ -1,8 +1,10 @@
 package org.plantainloom.transport.platform;
 
+import java.util.HashSet;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
-import org.plantainloom.protocol.Json;
+import org.plantainloom.protocol.VmListingReader;
 import org.plantainloom.state.VmList;
 import org.plantainloom.state.VmListing;
 import org.plantainloom.transport.http.DecodeErrorLog;
@@ -15,6 +17,7 @@
   private final JsonClient client;
   private final String address;
   private final DecodeErrorLog errors = new DecodeErrorLog();
+  private final DecodeErrorLog entryErrors = new DecodeErrorLog();
 
   /** Creates the adapter to the list at the address. */
   public HttpVmList(JsonClient client, String address) {
@@ -32,8 +35,21 @@
                 "VM list",
                 reply ->
                     reply.isSuccess()
-                        ? Optional.of(Json.read(reply.body(), VmListing.class))
+                        ? Optional.of(listingOf(reply.body()))
                         : Optional.<VmListing>empty(),
                 Optional.empty()));
   }
+
+  private VmListing listingOf(String body) {
+    Set<String> unreadable = new HashSet<>();
+    VmListing listing =
+        VmListingReader.read(
+            body,
+            (name, error) -> {
+              unreadable.add(name);
+              entryErrors.failed(name, error);
+            });
+    entryErrors.retain(unreadable);
+    return listing;
+  }
 }
