Keep listing the members when one entry is unreadable

Operators saw: no membership any more, so no election, no owner of racks and no routes, and an error with a stack trace each second.

Cause: the first unreadable entry ended the handling of the whole list.

Change: an unreadable entry, or one in the name of another member, names no member and is logged once. While the record of the planner is unreadable, the last readable one stays in force and nobody is elected: racks and gateways reject an epoch lower than the one that cannot be read.

--- a/src/main/java/org/plantainloom/transport/node/MembershipAgent.java
+++ b/src/main/java/org/plantainloom/transport/node/MembershipAgent.java
@@ -6,9 +6,11 @@
 import java.util.Optional;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.function.Consumer;
+import java.util.function.Function;
 import org.plantainloom.coordination.membership.MembershipView;
 import org.plantainloom.coordination.membership.PlannerElection;
 import org.plantainloom.protocol.Json;
+import org.plantainloom.protocol.MalformedMessageException;
 import org.plantainloom.state.EventKind;
 import org.plantainloom.state.KeyValueStore;
 import org.plantainloom.state.Keys;
@@ -18,6 +20,7 @@
 import org.plantainloom.state.PlannerRecord;
 import org.plantainloom.state.StoreEntry;
 import org.plantainloom.transport.duty.EventLoop;
+import org.plantainloom.transport.http.DecodeErrorLog;
 import org.plantainloom.transport.http.ProcessContext;
 
 /**
@@ -35,6 +38,7 @@
   private final KeyValueStore store;
   private final EventLoop eventLoop;
   private final List<Consumer<Membership>> listeners = new CopyOnWriteArrayList<>();
+  private final DecodeErrorLog errors = new DecodeErrorLog();
   private volatile Membership membership = Membership.empty();
   private volatile MemberRecord self;
   private volatile boolean stopped;
@@ -102,22 +106,53 @@
     List<MemberRecord> members = new ArrayList<>();
     Optional<PlannerRecord> planner = Optional.empty();
     long plannerRevision = KeyValueStore.ABSENT;
+    boolean plannerReadable = true;
     for (StoreEntry entry : entries.get()) {
       if (entry.key().equals(Keys.PLANNER)) {
-        planner = Optional.of(Json.read(entry.value(), PlannerRecord.class));
+        planner = decode(entry, MembershipAgent::plannerOf);
+        plannerReadable = planner.isPresent();
         plannerRevision = entry.revision();
       } else {
-        members.add(Json.read(entry.value(), MemberRecord.class));
+        decode(entry, MembershipAgent::memberOf).ifPresent(members::add);
       }
     }
+    errors.retain(entries.get().stream().map(StoreEntry::key).toList());
+    if (!plannerReadable) {
+      planner = membership.planner();
+    }
     members.sort(Comparator.comparing(MemberRecord::id));
     membership = new Membership(new MembershipView(members), planner);
     listeners.forEach(listener -> listener.accept(membership));
-    if (self.role() == MemberRole.SCHEDULER) {
+    // The epoch in an unreadable record is not known, and the racks reject plans of a lower one.
+    if (self.role() == MemberRole.SCHEDULER && plannerReadable) {
       electPlannerIfNeeded(planner, plannerRevision);
     }
   }
 
+  private <T> Optional<T> decode(StoreEntry entry, Function<StoreEntry, T> decoder) {
+    try {
+      T decoded = decoder.apply(entry);
+      errors.readable(entry.key());
+      return Optional.of(decoded);
+    } catch (MalformedMessageException e) {
+      errors.failed(entry.key(), e);
+      return Optional.empty();
+    }
+  }
+
+  private static PlannerRecord plannerOf(StoreEntry entry) {
+    return Json.read(entry.value(), PlannerRecord.class);
+  }
+
+  private static MemberRecord memberOf(StoreEntry entry) {
+    MemberRecord member = Json.read(entry.value(), MemberRecord.class);
+    if (!entry.key().equals(Keys.member(member.id()))) {
+      throw MalformedMessageException.of(
+          MemberRecord.class, "the id of member " + member.id(), null);
+    }
+    return member;
+  }
+
   private void recordStoreState(boolean down) {
     if (down != storeDown) {
       storeDown = down;
--- /dev/null
+++ b/src/test/java/org/plantainloom/transport/node/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the components of a scheduler process. */
+package org.plantainloom.transport.node;
