Read an unreadable rack record again instead of never

Operators saw: a rack whose record was unreadable once stayed without an owner after the record had been repaired.

Cause: the exception left the read pending for good.

Evidence: RackDriverTest.RackRecords failed: unreadable records were read once within the limit of the test, damaged ones kept the other rack from being taken over.

The rack is left alone: its record is never taken for absent, since its commitments would then be made again.

Ran: RackDriverTest, green.

--- a/src/main/java/org/plantainloom/transport/node/RackDriver.java
+++ b/src/main/java/org/plantainloom/transport/node/RackDriver.java
@@ -9,6 +9,7 @@
 import org.plantainloom.coordination.rack.RackWrite;
 import org.plantainloom.coordination.rack.ZoneView;
 import org.plantainloom.protocol.Json;
+import org.plantainloom.protocol.MalformedMessageException;
 import org.plantainloom.protocol.message.ExchangeReply;
 import org.plantainloom.protocol.message.ExchangeRequest;
 import org.plantainloom.state.KeyValueStore;
@@ -19,6 +20,7 @@
 import org.plantainloom.state.VmListing;
 import org.plantainloom.state.WorkerControl;
 import org.plantainloom.transport.duty.EventLoop;
+import org.plantainloom.transport.http.DecodeErrorLog;
 import org.plantainloom.transport.http.ProcessContext;
 
 /** Carries out the actions of a scheduler's rack coordinator and reports their results to it. */
@@ -33,6 +35,7 @@
   private final EventLoop eventLoop;
   private final Timer commitTimer;
   private final Meter workerMessageMeter;
+  private final DecodeErrorLog errors = new DecodeErrorLog();
 
   /** Starts the driver. */
   public RackDriver(
@@ -118,14 +121,33 @@
           Optional<RackRecord> record = Optional.empty();
           long revision = KeyValueStore.ABSENT;
           if (result instanceof ReadResult.Found found) {
-            record = Optional.of(Json.read(found.value(), RackRecord.class));
+            record = decode(rack, found.value());
             revision = found.revision();
           }
-          boolean responded = !(result instanceof ReadResult.Unavailable);
+          // An unreadable record must not count as absent: its commitments would be made again.
+          boolean responded =
+              result instanceof ReadResult.Absent
+                  || (result instanceof ReadResult.Found && record.isPresent());
           coordinator.handleRecordRead(rack, record, revision, responded, process.nowMs());
         });
   }
 
+  private Optional<RackRecord> decode(RackId rack, String text) {
+    String key = Keys.rack(rack);
+    try {
+      RackRecord record = Json.read(text, RackRecord.class);
+      if (!record.rack().equals(rack)) {
+        throw MalformedMessageException.of(
+            RackRecord.class, "the record of rack " + record.rack(), null);
+      }
+      errors.readable(key);
+      return Optional.of(record);
+    } catch (MalformedMessageException e) {
+      errors.failed(key, e);
+      return Optional.empty();
+    }
+  }
+
   private void write(RackWrite write) {
     Timer.Context timing = commitTimer.time();
     String value = Json.write(write.next());
