Plan the other teams when the documents of one are unreadable

Operators saw: no team was planned any more once a document of one team had a field of null, and an unreadable document was read and logged in each tick.

Cause: the planning round met the null; the loader asked again in each tick. A document in the name of another team replaced the state of that team.

Evidence: PlannerDriverTest failed: no tasks for the other team with damaged documents ("event loop planner: a task failed" per round), "Expected size: 10 but was: 12" and more lines with unreadable ones.

Change: a team whose document is unreadable keeps its last state, and is not planned before its documents have been read; the document is read again after a second and logged once. Unreadable replies of rack owners are logged once; an unreadable exchange is answered with 400.

Ran: PlannerDriverTest, green.

--- a/src/main/java/org/plantainloom/transport/node/DocumentLoader.java
+++ b/src/main/java/org/plantainloom/transport/node/DocumentLoader.java
@@ -1,5 +1,6 @@
 package org.plantainloom.transport.node;
 
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Iterator;
 import java.util.List;
@@ -10,6 +11,7 @@
 import java.util.function.Consumer;
 import org.plantainloom.coordination.plan.Planner;
 import org.plantainloom.protocol.Json;
+import org.plantainloom.protocol.MalformedMessageException;
 import org.plantainloom.state.JobsDocument;
 import org.plantainloom.state.KeyValueStore;
 import org.plantainloom.state.Keys;
@@ -19,6 +21,7 @@
 import org.plantainloom.state.TeamId;
 import org.plantainloom.state.TimeSource;
 import org.plantainloom.transport.duty.EventLoop;
+import org.plantainloom.transport.http.DecodeErrorLog;
 
 /** Reads the planner's documents from the store; used on the planner's event loop only. */
 final class DocumentLoader {
@@ -31,6 +34,8 @@
   private final Set<String> pendingReads = new HashSet<>();
   private final Map<TeamId, String> configVersions = new TreeMap<>();
   private final Set<TeamId> jobsLoaded = new TreeSet<>();
+  private final Map<String, Long> unreadableUntilMs = new HashMap<>();
+  private final DecodeErrorLog errors = new DecodeErrorLog();
   private long retryAtMs;
   private Iterator<TeamId> teamsToReload = List.<TeamId>of().iterator();
 
@@ -79,8 +84,11 @@
   private void readTasks(TeamId team) {
     read(
         Keys.tasks(team),
-        found ->
-            planner.updateTasks(Json.read(found.value(), TasksDocument.class), found.revision()),
+        found -> {
+          TasksDocument tasks = Json.read(found.value(), TasksDocument.class);
+          requireTeam(team, tasks.team(), TasksDocument.class);
+          planner.updateTasks(tasks, found.revision());
+        },
         () -> planner.updateTasks(TasksDocument.empty(team), KeyValueStore.ABSENT));
   }
 
@@ -89,7 +97,9 @@
         Keys.teamConfig(team, version),
         found -> {
           if (version.equals(planner.index().teams().get(team))) {
-            planner.updateConfig(Json.read(found.value(), TeamConfig.class));
+            TeamConfig config = Json.read(found.value(), TeamConfig.class);
+            requireTeam(team, config.team(), TeamConfig.class);
+            planner.updateConfig(config);
             configVersions.put(team, version);
           }
         },
@@ -100,7 +110,9 @@
     read(
         Keys.jobs(team),
         found -> {
-          planner.updateJobs(Json.read(found.value(), JobsDocument.class), found.revision());
+          JobsDocument jobs = Json.read(found.value(), JobsDocument.class);
+          requireTeam(team, jobs.team(), JobsDocument.class);
+          planner.updateJobs(jobs, found.revision());
           jobsLoaded.add(team);
         },
         () -> {
@@ -110,7 +122,8 @@
   }
 
   private void read(String key, Consumer<ReadResult.Found> onFound, Runnable onAbsent) {
-    if (!pendingReads.add(key)) {
+    boolean backingOff = time.nowMs() < unreadableUntilMs.getOrDefault(key, 0L);
+    if (backingOff || !pendingReads.add(key)) {
       return;
     }
     long epoch = planner.epoch();
@@ -122,7 +135,7 @@
             return;
           }
           if (result instanceof ReadResult.Found found) {
-            onFound.accept(found);
+            decode(key, found, onFound);
           } else if (result instanceof ReadResult.Absent) {
             onAbsent.run();
           } else {
@@ -130,4 +143,22 @@
           }
         });
   }
+
+  /** A team whose document is unreadable keeps its last state; the other teams are planned. */
+  private void decode(String key, ReadResult.Found found, Consumer<ReadResult.Found> onFound) {
+    try {
+      onFound.accept(found);
+      unreadableUntilMs.remove(key);
+      errors.readable(key);
+    } catch (MalformedMessageException e) {
+      unreadableUntilMs.put(key, time.nowMs() + RETRY_MS);
+      errors.failed(key, e);
+    }
+  }
+
+  private static void requireTeam(TeamId expected, TeamId found, Class<?> type) {
+    if (!found.equals(expected)) {
+      throw MalformedMessageException.of(type, "the document of team " + found, null);
+    }
+  }
 }
--- a/src/main/java/org/plantainloom/transport/node/PeerApi.java
+++ b/src/main/java/org/plantainloom/transport/node/PeerApi.java
@@ -7,6 +7,7 @@
 import com.linecorp.armeria.server.annotation.Post;
 import java.util.concurrent.CompletableFuture;
 import org.plantainloom.protocol.Json;
+import org.plantainloom.protocol.MalformedMessageException;
 import org.plantainloom.protocol.message.ExchangeRequest;
 import org.plantainloom.state.TeamId;
 import org.plantainloom.transport.http.Replies;
@@ -25,7 +26,13 @@
   /** Accepts the planner's plans and replies with the statuses of the owned racks. */
   @Post(PeerPaths.EXCHANGE)
   public CompletableFuture<HttpResponse> exchange(String body) {
-    ExchangeRequest request = Json.read(body, ExchangeRequest.class);
+    ExchangeRequest request;
+    try {
+      request = Json.read(body, ExchangeRequest.class);
+    } catch (MalformedMessageException e) {
+      return CompletableFuture.completedFuture(
+          Replies.error(HttpStatus.BAD_REQUEST, "malformed", e.getMessage()));
+    }
     return components.racks().exchange(request).thenApply(Replies::ok);
   }
 
--- a/src/main/java/org/plantainloom/transport/node/PlannerDriver.java
+++ b/src/main/java/org/plantainloom/transport/node/PlannerDriver.java
@@ -17,6 +17,7 @@
 import org.plantainloom.coordination.plan.RouteTable;
 import org.plantainloom.coordination.plan.TasksWrite;
 import org.plantainloom.protocol.Json;
+import org.plantainloom.protocol.MalformedMessageException;
 import org.plantainloom.protocol.message.ExchangeReply;
 import org.plantainloom.protocol.message.ExchangeRequest;
 import org.plantainloom.state.EventKind;
@@ -31,6 +32,7 @@
 import org.plantainloom.state.VmListing;
 import org.plantainloom.state.WriteResult;
 import org.plantainloom.transport.duty.EventLoop;
+import org.plantainloom.transport.http.DecodeErrorLog;
 import org.plantainloom.transport.http.JsonClient;
 import org.plantainloom.transport.http.ProcessContext;
 
@@ -53,6 +55,7 @@
   private final RoutePublisher routePublisher;
   private final EventLoop eventLoop;
   private final Timer planningTimer;
+  private final DecodeErrorLog errors = new DecodeErrorLog();
   private final Map<String, Set<RackId>> racksByAddress = new HashMap<>();
   private final Set<String> pendingExchanges = new HashSet<>();
   private Membership membership = Membership.empty();
@@ -223,11 +226,21 @@
         reply -> {
           pendingExchanges.remove(address);
           if (reply.isSuccess() && planning && planner.epoch() == epoch) {
-            onExchangeReply(address, Json.read(reply.body(), ExchangeReply.class));
+            decodeExchangeReply(address, reply.body());
           }
         });
   }
 
+  private void decodeExchangeReply(String address, String body) {
+    String source = "exchange reply of " + address;
+    try {
+      onExchangeReply(address, Json.read(body, ExchangeReply.class));
+      errors.readable(source);
+    } catch (MalformedMessageException e) {
+      errors.failed(source, e);
+    }
+  }
+
   private void onExchangeReply(String address, ExchangeReply reply) {
     reply.news().forEach(planner::updateStatus);
     racksByAddress.put(address, new TreeSet<>(reply.owned()));
