Log an unreadable configuration index once and wait for the next

Operators saw: an error with a stack trace for each read of an unreadable index.

Cause: its revision was not taken note of, so the watch returned at once with the same text.

Evidence: ConfigWatcherTest failed for all ten texts ("Expected size: 1 but was: 5").

Change: the revision counts as seen. The last readable index stays in force but its readings stop, since the unreadable one may take a zone out: nothing new starts until an index is readable.

Ran: ConfigWatcherTest, green.

--- a/src/main/java/org/plantainloom/transport/node/ConfigWatcher.java
+++ b/src/main/java/org/plantainloom/transport/node/ConfigWatcher.java
@@ -4,6 +4,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.function.Consumer;
 import org.plantainloom.protocol.Json;
+import org.plantainloom.protocol.MalformedMessageException;
 import org.plantainloom.state.ConfigIndex;
 import org.plantainloom.state.EventKind;
 import org.plantainloom.state.KeyValueStore;
@@ -11,6 +12,7 @@
 import org.plantainloom.state.ReadResult;
 import org.plantainloom.state.ZoneName;
 import org.plantainloom.transport.duty.EventLoop;
+import org.plantainloom.transport.http.DecodeErrorLog;
 import org.plantainloom.transport.http.ProcessContext;
 
 /** Watches the configuration index in the store, and also reads it on demand. */
@@ -23,8 +25,10 @@
   private final KeyValueStore store;
   private final EventLoop eventLoop;
   private final List<Consumer<ConfigIndexReading>> listeners = new CopyOnWriteArrayList<>();
+  private final DecodeErrorLog errors = new DecodeErrorLog();
   private ConfigIndex index = ConfigIndex.empty();
   private long storeRevision;
+  private boolean unreadable;
   private boolean watchPending;
   private boolean readPending;
   private long retryAtMs;
@@ -93,15 +97,30 @@
       return;
     }
     if (result instanceof ReadResult.Found found && found.revision() > storeRevision) {
-      apply(Json.read(found.value(), ConfigIndex.class), found.revision());
+      decode(found);
     }
     lastReadMs = Math.max(lastReadMs, sentMs);
-    ConfigIndexReading latest = new ConfigIndexReading(index, sentMs);
-    listeners.forEach(listener -> listener.accept(latest));
+    // An unreadable index may take zones out, so it must not confirm that the others are in.
+    if (!unreadable) {
+      ConfigIndexReading latest = new ConfigIndexReading(index, sentMs);
+      listeners.forEach(listener -> listener.accept(latest));
+    }
     tick();
   }
 
-  private void apply(ConfigIndex newIndex, long newRevision) {
+  private void decode(ReadResult.Found found) {
+    storeRevision = found.revision();
+    try {
+      apply(Json.read(found.value(), ConfigIndex.class));
+      unreadable = false;
+      errors.readable(Keys.CONFIG_INDEX);
+    } catch (MalformedMessageException e) {
+      unreadable = true;
+      errors.failed(Keys.CONFIG_INDEX, e);
+    }
+  }
+
+  private void apply(ConfigIndex newIndex) {
     String detail = "config " + newIndex.revision();
     for (ZoneName zone : newIndex.zonesOut()) {
       if (!index.zonesOut().contains(zone)) {
@@ -114,7 +133,6 @@
       }
     }
     index = newIndex;
-    storeRevision = newRevision;
     process.record(EventKind.CONFIG_APPLIED, "config", "revision " + newIndex.revision());
   }
 
