Reject changes of unreadable documents as unavailable

Operators saw: an internal error for each change of a document that is unreadable.

Change: the change is rejected at once with the reason, which is logged, and the stored text is kept. Completed jobs are not removed while the tasks of their team are unreadable.

Ran: AdminChangesTest, green.

--- a/src/main/java/org/plantainloom/transport/admin/ConfigChanges.java
+++ b/src/main/java/org/plantainloom/transport/admin/ConfigChanges.java
@@ -4,7 +4,9 @@
 import java.util.Optional;
 import java.util.function.Function;
 import java.util.function.UnaryOperator;
+import org.jboss.logging.Logger;
 import org.plantainloom.protocol.Json;
+import org.plantainloom.protocol.MalformedMessageException;
 import org.plantainloom.state.ConfigIndex;
 import org.plantainloom.state.KeyValueStore;
 import org.plantainloom.state.Keys;
@@ -22,6 +24,7 @@
  * the change id. The methods block and must be called on blocking threads only.
  */
 public final class ConfigChanges {
+  private static final Logger LOG = Logger.getLogger(ConfigChanges.class);
   private static final int MAX_ATTEMPTS = 20;
 
   private final KeyValueStore store;
@@ -37,7 +40,7 @@
     return change(
         request,
         index -> {
-          Optional<TeamConfig> current = teamConfig(index, team);
+          Optional<TeamConfig> current = readTeamConfig(index, team);
           if (current.isEmpty()) {
             return Optional.empty();
           }
@@ -61,6 +64,17 @@
 
   private ChangeOutcome change(
       ChangeRequest request, Function<ConfigIndex, Optional<ConfigIndex>> derive) {
+    try {
+      return changeReadable(request, derive);
+    } catch (MalformedMessageException e) {
+      // Another attempt would read the same text.
+      LOG.errorf("change %s: %s", request.changeId(), e.getMessage());
+      return new ChangeOutcome.Unavailable("the stored configuration is unreadable");
+    }
+  }
+
+  private ChangeOutcome changeReadable(
+      ChangeRequest request, Function<ConfigIndex, Optional<ConfigIndex>> derive) {
     String reason = "no attempt was made";
     for (int attempt = 0; attempt < MAX_ATTEMPTS; attempt++) {
       RetryBackoff.pauseAfter(attempt);
@@ -104,14 +118,31 @@
     return Optional.empty();
   }
 
-  /** Returns the current index, or empty if the store does not respond. */
+  /** Returns the current index, or empty if the store does not respond or it is unreadable. */
   public Optional<ConfigIndex> index() {
     ReadResult read = store.read(Keys.CONFIG_INDEX).join();
-    return read instanceof ReadResult.Unavailable ? Optional.empty() : Optional.of(indexOf(read));
+    try {
+      return read instanceof ReadResult.Unavailable ? Optional.empty() : Optional.of(indexOf(read));
+    } catch (MalformedMessageException e) {
+      LOG.errorf("%s: %s", Keys.CONFIG_INDEX, e.getMessage());
+      return Optional.empty();
+    }
   }
 
-  /** Returns a team's configuration as of an index, or empty if the store does not respond. */
+  /**
+   * Returns a team's configuration as of an index, or empty if the store does not respond or it is
+   * unreadable.
+   */
   public Optional<TeamConfig> teamConfig(ConfigIndex index, TeamId team) {
+    try {
+      return readTeamConfig(index, team);
+    } catch (MalformedMessageException e) {
+      LOG.errorf("configuration of %s: %s", team, e.getMessage());
+      return Optional.empty();
+    }
+  }
+
+  private Optional<TeamConfig> readTeamConfig(ConfigIndex index, TeamId team) {
     String version = index.teams().get(team);
     if (version == null) {
       return Optional.of(TeamConfig.empty(team));
--- a/src/main/java/org/plantainloom/transport/admin/JobChanges.java
+++ b/src/main/java/org/plantainloom/transport/admin/JobChanges.java
@@ -6,7 +6,9 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Function;
+import org.jboss.logging.Logger;
 import org.plantainloom.protocol.Json;
+import org.plantainloom.protocol.MalformedMessageException;
 import org.plantainloom.protocol.message.ApiError;
 import org.plantainloom.state.BatchJobProgress;
 import org.plantainloom.state.BatchJobSpec;
@@ -21,6 +23,7 @@
 
 /** Creates and cancels batch jobs by compare-and-swap on the team's jobs document. */
 public final class JobChanges {
+  private static final Logger LOG = Logger.getLogger(JobChanges.class);
   private static final int MAX_ATTEMPTS = 20;
   private static final int PRUNE_THRESHOLD_JOBS = 200;
 
@@ -84,6 +87,16 @@
   }
 
   private ChangeOutcome change(TeamId team, Function<JobsDocument, Decision> derive) {
+    try {
+      return changeReadable(team, derive);
+    } catch (MalformedMessageException e) {
+      // Another attempt would read the same text; writing over it would lose the team's jobs.
+      LOG.errorf("jobs of %s: %s", team, e.getMessage());
+      return new ChangeOutcome.Unavailable("the stored jobs are unreadable");
+    }
+  }
+
+  private ChangeOutcome changeReadable(TeamId team, Function<JobsDocument, Decision> derive) {
     String reason = "no attempt was made";
     for (int attempt = 0; attempt < MAX_ATTEMPTS; attempt++) {
       RetryBackoff.pauseAfter(attempt);
@@ -125,10 +138,15 @@
       return jobs;
     }
     Set<String> complete = new HashSet<>();
-    for (BatchJobProgress job : Json.read(found.value(), TasksDocument.class).jobs()) {
-      if (job.complete()) {
-        complete.add(job.job());
+    try {
+      for (BatchJobProgress job : Json.read(found.value(), TasksDocument.class).jobs()) {
+        if (job.complete()) {
+          complete.add(job.job());
+        }
       }
+    } catch (MalformedMessageException e) {
+      LOG.errorf("tasks of %s, no completed job is removed: %s", team, e.getMessage());
+      return jobs;
     }
     List<JobIntent> kept = new ArrayList<>(jobs);
     kept.removeIf(intent -> complete.contains(intent.spec().name()));
--- a/src/test/java/org/plantainloom/transport/AdminChangesTest.java
+++ b/src/test/java/org/plantainloom/transport/AdminChangesTest.java
@@ -10,16 +10,20 @@
 import java.util.stream.IntStream;
 import org.plantainloom.state.BatchJobSpec;
 import org.plantainloom.state.ConfigIndex;
+import org.plantainloom.state.Keys;
 import org.plantainloom.state.TeamConfig;
 import org.plantainloom.state.TeamId;
 import org.plantainloom.state.ZoneName;
+import org.plantainloom.support.DamagedEntries;
 import org.plantainloom.support.FakeStore;
 import org.plantainloom.support.Teams;
+import org.plantainloom.support.WatchableStore;
 import org.plantainloom.transport.admin.ChangeOutcome;
 import org.plantainloom.transport.admin.ChangeRequest;
 import org.plantainloom.transport.admin.ConfigChanges;
 import org.plantainloom.transport.admin.JobChanges;
 import org.plantainloom.transport.admin.Tokens;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 /** Configuration and job changes with lost store replies and concurrent operators; API tokens. */
@@ -69,6 +73,64 @@
     }
   }
 
+  /** Documents that another writer has damaged. */
+  public static class DamagedDocuments {
+    @DataProvider
+    public static Object[][] damaged() {
+      return DamagedEntries.ALL.stream().map(e -> new Object[] {e}).toArray(Object[][]::new);
+    }
+
+    @Test(dataProvider = "damaged")
+    public void should_reject_a_change_and_keep_an_unreadable_index(String damaged) {
+      // given
+      WatchableStore store = new WatchableStore();
+      store.put(Keys.CONFIG_INDEX, damaged);
+      ConfigChanges changes = new ConfigChanges(store);
+      // when
+      ChangeOutcome outcome = changes.changeZone(anyRevision("change-1"), YUCHI, true);
+      // then
+      assertThat(outcome).isInstanceOf(ChangeOutcome.Unavailable.class);
+      assertThat(changes.index()).isEmpty();
+      assertThat(store.value(Keys.CONFIG_INDEX)).contains(damaged);
+    }
+
+    @Test(dataProvider = "damaged")
+    public void should_reject_a_change_of_a_team_whose_configuration_is_unreadable(String damaged) {
+      // given
+      WatchableStore store = new WatchableStore();
+      ConfigChanges changes = new ConfigChanges(store);
+      TeamConfig config = Teams.withService(Teams.HENGTAI, "leafweigh", 3);
+      changes.changeTeam(anyRevision("change-1"), Teams.HENGTAI, before -> config);
+      ConfigIndex index = changes.index().orElseThrow();
+      String key = Keys.teamConfig(Teams.HENGTAI, index.teams().get(Teams.HENGTAI));
+      store.put(key, damaged);
+      // when
+      ChangeOutcome outcome =
+          changes.changeTeam(
+              anyRevision("change-2"), Teams.HENGTAI, before -> before.withoutService("leafweigh"));
+      // then
+      assertThat(outcome).isInstanceOf(ChangeOutcome.Unavailable.class);
+      assertThat(changes.teamConfig(index, Teams.HENGTAI)).isEmpty();
+      assertThat(changes.index()).contains(index);
+    }
+
+    @Test(dataProvider = "damaged")
+    public void should_reject_a_job_and_keep_an_unreadable_jobs_document(String damaged) {
+      // given
+      WatchableStore store = new WatchableStore();
+      store.put(Keys.jobs(Teams.HENGTAI), damaged);
+      JobChanges changes = new JobChanges(store);
+      // when
+      ChangeOutcome created =
+          changes.create("change-1", Teams.HENGTAI, Teams.job("scores", 5, 1, 1_000));
+      ChangeOutcome cancelled = changes.cancel(Teams.HENGTAI, "scores");
+      // then
+      assertThat(created).isInstanceOf(ChangeOutcome.Unavailable.class);
+      assertThat(cancelled).isInstanceOf(ChangeOutcome.Unavailable.class);
+      assertThat(store.value(Keys.jobs(Teams.HENGTAI))).contains(damaged);
+    }
+  }
+
   /** Changes that expect the same revision. */
   public static class ConflictingChanges {
     @Test
