Follow the planner after an unreadable route table without a line per poll

Operators saw: an error with a stack trace per poll; a table with the largest epoch was accepted, and no later one is newer than that.

Evidence: RouteWatcherTest failed for all 15 tables.

Change: the table in force stays, and the unreadable one is logged once.

Ran: RouteWatcherTest, green.

--- a/src/main/java/org/plantainloom/transport/gateway/RouteWatcher.java
+++ b/src/main/java/org/plantainloom/transport/gateway/RouteWatcher.java
@@ -3,8 +3,10 @@
 import org.plantainloom.coordination.plan.RouteTable;
 import org.plantainloom.coordination.routing.Router;
 import org.plantainloom.protocol.Json;
+import org.plantainloom.protocol.MalformedMessageException;
 import org.plantainloom.state.EventKind;
 import org.plantainloom.transport.duty.EventLoop;
+import org.plantainloom.transport.http.DecodeErrorLog;
 import org.plantainloom.transport.http.HttpReply;
 import org.plantainloom.transport.http.JsonClient;
 import org.plantainloom.transport.http.ProcessContext;
@@ -16,6 +18,7 @@
  * Long-polls the planner for new routes; the latest ones stay in force while it does not respond.
  */
 public final class RouteWatcher implements AutoCloseable {
+  private static final String SOURCE = "route table of the planner";
   private static final long TICK_MS = 200;
   private static final long POLL_WAIT_MS = 5_000;
   private static final long TIMEOUT_MARGIN_MS = 1_000;
@@ -26,6 +29,7 @@
   private final Router router;
   private final Readiness readiness;
   private final EventLoop eventLoop;
+  private final DecodeErrorLog errors = new DecodeErrorLog();
   private boolean pollPending;
 
   /** Starts polling. */
@@ -69,7 +73,14 @@
     if (!reply.isSuccess() || reply.body().isEmpty()) {
       return;
     }
-    RouteTable table = Json.read(reply.body(), RouteTable.class);
+    RouteTable table;
+    try {
+      table = Json.read(reply.body(), RouteTable.class);
+      errors.readable(SOURCE);
+    } catch (MalformedMessageException e) {
+      errors.failed(SOURCE, e);
+      return;
+    }
     if (router.updateRoutes(table)) {
       process.record(
           EventKind.ROUTES_CHANGED,
--- /dev/null
+++ b/src/test/java/org/plantainloom/transport/gateway/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the components of a gateway process. */
+package org.plantainloom.transport.gateway;
