Keep sums of resources within the range of an amount

Operators saw nothing yet: two commitments of sizes near 2^31 added up to less than nothing, so that the worker seemed to have room for more.

Evidence: ResourceVectorTest failed in both tests.

Change: sums and differences stay at the end of the range, which fits in no worker.

Ran: ResourceVectorTest, QueueTest, TakeoverTest, green.

--- a/src/main/java/org/plantainloom/state/ResourceVector.java
+++ b/src/main/java/org/plantainloom/state/ResourceVector.java
@@ -11,16 +11,27 @@
   /** No resources. */
   public static final ResourceVector ZERO = new ResourceVector(0, 0, 0);
 
-  /** Returns the sum of both amounts. */
+  /** Returns the sum of both amounts; a component that exceeds the range stays at its end. */
   public ResourceVector plus(ResourceVector other) {
     return new ResourceVector(
-        cpuMillis + other.cpuMillis, memoryMb + other.memoryMb, accelerators + other.accelerators);
+        saturated((long) cpuMillis + other.cpuMillis),
+        saturated((long) memoryMb + other.memoryMb),
+        saturated((long) accelerators + other.accelerators));
   }
 
-  /** Returns this amount minus the other; components may become negative. */
+  /**
+   * Returns this amount minus the other; components may become negative, and one that exceeds the
+   * range stays at its end.
+   */
   public ResourceVector minus(ResourceVector other) {
     return new ResourceVector(
-        cpuMillis - other.cpuMillis, memoryMb - other.memoryMb, accelerators - other.accelerators);
+        saturated((long) cpuMillis - other.cpuMillis),
+        saturated((long) memoryMb - other.memoryMb),
+        saturated((long) accelerators - other.accelerators));
+  }
+
+  private static int saturated(long amount) {
+    return (int) Math.max(Integer.MIN_VALUE, Math.min(Integer.MAX_VALUE, amount));
   }
 
   /** Returns whether every component is at most that of the capacity. */
--- /dev/null
+++ b/src/test/java/org/plantainloom/state/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the records and the functions on them. */
+package org.plantainloom.state;
