--- a/src/main/java/org/plantainloom/protocol/Json.java
+++ b/src/main/java/org/plantainloom/protocol/Json.java
@@ -9,7 +9,6 @@
 import com.fasterxml.jackson.databind.KeyDeserializer;
 import com.fasterxml.jackson.databind.MapperFeature;
 import com.fasterxml.jackson.databind.ObjectMapper;
-import com.fasterxml.jackson.databind.ObjectReader;
 import com.fasterxml.jackson.databind.SerializerProvider;
 import com.fasterxml.jackson.databind.deser.std.FromStringDeserializer;
 import com.fasterxml.jackson.databind.json.JsonMapper;
@@ -33,18 +32,16 @@
       JsonMapper.builder()
           .addModule(new Jdk8Module())
           .addModule(stringTypes())
+          .annotationIntrospector(new RequiredComponents())
           .disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
+          .enable(DeserializationFeature.FAIL_ON_NUMBERS_FOR_ENUMS)
+          .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
+          .disable(DeserializationFeature.ACCEPT_FLOAT_AS_INT)
+          .disable(MapperFeature.ALLOW_COERCION_OF_SCALARS)
           .disable(MapperFeature.AUTO_DETECT_IS_GETTERS)
           .serializationInclusion(JsonInclude.Include.NON_ABSENT)
           .build();
 
-  /** Rejects what the lenient reader cuts off: fractions of whole numbers and trailing text. */
-  private static final ObjectReader STRICT_READER =
-      MAPPER
-          .reader()
-          .without(DeserializationFeature.ACCEPT_FLOAT_AS_INT)
-          .with(DeserializationFeature.FAIL_ON_TRAILING_TOKENS);
-
   private Json() {}
 
   /** Returns the JSON of a record. */
@@ -71,35 +68,24 @@
    * @throws MalformedMessageException if the text is not valid JSON of that type
    */
   public static <T> T read(String text, Class<T> type) {
-    try {
-      return requirePresent(MAPPER.readValue(text, type), type);
-    } catch (JsonProcessingException e) {
-      throw MalformedMessageException.of(type, e.getOriginalMessage(), e);
+    if (text == null) {
+      throw MalformedMessageException.of(type, "no text", null);
     }
-  }
-
-  /**
-   * Parses the JSON of a stored record, which another writer may have damaged: rejects fractions of
-   * whole numbers and text after the end, too.
-   *
-   * @throws MalformedMessageException if the text is not valid JSON of that type
-   */
-  public static <T> T readStrictly(String text, Class<T> type) {
     try {
-      return requirePresent(STRICT_READER.forType(type).readValue(text), type);
+      return requirePresent(MAPPER.readValue(text, type), type);
     } catch (JsonProcessingException e) {
       throw MalformedMessageException.of(type, e.getOriginalMessage(), e);
     }
   }
 
   /**
-   * Converts a part of a stored record, as {@link #readStrictly(String, Class)} does the whole.
+   * Converts a part of a record, as {@link #read(String, Class)} does the whole.
    *
    * @throws MalformedMessageException if the part is not valid JSON of that type
    */
-  public static <T> T readStrictly(JsonNode part, Class<T> type) {
+  public static <T> T read(JsonNode part, Class<T> type) {
     try {
-      return requirePresent(STRICT_READER.treeToValue(part, type), type);
+      return requirePresent(MAPPER.treeToValue(part, type), type);
     } catch (JsonProcessingException e) {
       throw MalformedMessageException.of(type, e.getOriginalMessage(), e);
     }
@@ -115,6 +101,7 @@
   /** Maps the types that JSON represents as strings, both as values and as keys. */
   private static SimpleModule stringTypes() {
     SimpleModule module = new SimpleModule("names");
+    module.setDeserializerModifier(new RecordRules());
     add(module, WorkerId.class, WorkerId::new);
     add(module, RackId.class, RackId::new);
     add(module, ZoneName.class, ZoneName::new);
--- a/src/main/java/org/plantainloom/transport/dispatch/OwnerElection.java
+++ b/src/main/java/org/plantainloom/transport/dispatch/OwnerElection.java
@@ -336,7 +336,7 @@
   private static Optional<List<OwnerRecord>> predecessors(Optional<StoreItem> stored, long term) {
     try {
       return stored.flatMap(
-          item -> Json.readStrictly(item.value(), UnsettledOwners.class).ownersUpTo(term - 1));
+          item -> Json.read(item.value(), UnsettledOwners.class).ownersUpTo(term - 1));
     } catch (MalformedMessageException e) {
       LOG.warnf("event=unsettled-owners-unreadable reason=%s", e.getMessage());
       return Optional.empty();
--- a/src/main/java/org/plantainloom/transport/dispatch/StoredFleet.java
+++ b/src/main/java/org/plantainloom/transport/dispatch/StoredFleet.java
@@ -31,7 +31,7 @@
   static StoredFleet parse(String text) {
     JsonNode record;
     try {
-      record = Json.readStrictly(text, JsonNode.class);
+      record = Json.read(text, JsonNode.class);
     } catch (MalformedMessageException e) {
       return new StoredFleet(List.of(), Optional.of(e.getMessage()));
     }
@@ -59,7 +59,7 @@
   }
 
   private static WorkerRegistration worker(JsonNode row) {
-    WorkerRegistration worker = Json.readStrictly(row, WorkerRegistration.class);
+    WorkerRegistration worker = Json.read(row, WorkerRegistration.class);
     boolean valid =
         worker.id() != null
             && worker.service() != null
--- a/src/main/java/org/plantainloom/transport/dispatch/StoredJob.java
+++ b/src/main/java/org/plantainloom/transport/dispatch/StoredJob.java
@@ -16,7 +16,7 @@
    * @throws MalformedMessageException if the text is not that of an accepted job of that id
    */
   static JobSpec parse(String id, String text) {
-    JobSpec spec = Json.readStrictly(text, JobSpec.class);
+    JobSpec spec = Json.read(text, JobSpec.class);
     if (!id.equals(spec.id())) {
       throw damage("the id of another job");
     }
--- a/src/main/java/org/plantainloom/transport/dispatch/StoredOwner.java
+++ b/src/main/java/org/plantainloom/transport/dispatch/StoredOwner.java
@@ -14,7 +14,7 @@
    * @throws MalformedMessageException if no owner can have written the text at that revision
    */
   static OwnerRecord parse(String text, long revision) {
-    OwnerRecord owner = Json.readStrictly(text, OwnerRecord.class);
+    OwnerRecord owner = Json.read(text, OwnerRecord.class);
     if (owner.node() == null || owner.address() == null) {
       throw MalformedMessageException.of(OwnerRecord.class, "no node or address", null);
     }
--- a/src/main/java/org/plantainloom/transport/dispatch/StoredProgress.java
+++ b/src/main/java/org/plantainloom/transport/dispatch/StoredProgress.java
@@ -22,7 +22,7 @@
    *     be taken from the rest is not used: a task that is missing there would run again.
    */
   static JobProgress parse(JobSpec spec, String text) {
-    JobProgress progress = Json.readStrictly(text, JobProgress.class);
+    JobProgress progress = Json.read(text, JobProgress.class);
     if (progress.status() == null
         || hasGaps(progress.done())
         || hasGaps(progress.failures())
--- a/src/main/java/org/plantainloom/transport/http/JsonClient.java
+++ b/src/main/java/org/plantainloom/transport/http/JsonClient.java
@@ -17,7 +17,6 @@
 import com.linecorp.armeria.common.metric.NoopMeterRegistry;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Function;
-import org.jboss.logging.Logger;
 import org.plantainloom.protocol.Headers;
 import org.plantainloom.protocol.MalformedMessageException;
 import org.plantainloom.state.HybridClock;
@@ -28,7 +27,6 @@
  * response is an {@link HttpReply} too.
  */
 public final class JsonClient implements AutoCloseable {
-  private static final Logger LOG = Logger.getLogger(JsonClient.class);
   private static final long CONNECT_TIMEOUT_MS = 1_000;
   private static final long IDLE_TIMEOUT_MS = 10_000;
   private static final long MAX_RESPONSE_BYTES = 16L << 20;
@@ -74,13 +72,19 @@
 
   /** Sends a GET. */
   public CompletableFuture<HttpReply> get(String address, String path, long timeoutMs) {
-    return send(RequestHeaders.builder(HttpMethod.GET, url(address, path)), "", timeoutMs);
+    return send(HttpMethod.GET, address, path, "", timeoutMs);
   }
 
   /** Sends a request with a JSON body. */
   public CompletableFuture<HttpReply> send(
       HttpMethod method, String address, String path, String body, long timeoutMs) {
-    return send(RequestHeaders.builder(method, url(address, path)), body, timeoutMs);
+    RequestHeadersBuilder headers;
+    try {
+      headers = RequestHeaders.builder(method, url(address, path));
+    } catch (RuntimeException e) {
+      return unusableAddress(e);
+    }
+    return send(headers, body, timeoutMs);
   }
 
   /** Sends a request with a JSON body and further headers. */
@@ -91,10 +95,21 @@
       headers.contentType(MediaType.JSON_UTF_8);
     }
     RequestOptions options = RequestOptions.builder().responseTimeoutMillis(timeoutMs).build();
-    return client
-        .execute(HttpRequest.of(headers.build(), HttpData.ofUtf8(body)), options)
+    HttpResponse response;
+    try {
+      response = client.execute(HttpRequest.of(headers.build(), HttpData.ofUtf8(body)), options);
+    } catch (RuntimeException e) {
+      return unusableAddress(e);
+    }
+    return response
         .aggregate()
-        .handle((response, failure) -> failure == null ? reply(response) : missing(failure));
+        .handle((received, failure) -> failure == null ? reply(received) : missing(failure));
+  }
+
+  // Armeria throws before it connects if the address is not one of a host and port. Callers that
+  // send to many addresses would otherwise not reach those after this one.
+  private static CompletableFuture<HttpReply> unusableAddress(RuntimeException failure) {
+    return CompletableFuture.completedFuture(missing(failure));
   }
 
   /** Returns the URL of a path at an address. */
@@ -110,13 +125,23 @@
     return new HttpReply(response.status().code(), response.contentUtf8());
   }
 
-  /** Returns a decoder that returns the fallback if the response has malformed JSON. */
-  public static <T> Function<HttpReply, T> decoding(Function<HttpReply, T> decode, T fallback) {
+  /**
+   * Returns a decoder that returns the fallback if the response has malformed JSON.
+   *
+   * @param errors logs malformed responses
+   * @param source what responds, for the log
+   */
+  public static <T> Function<HttpReply, T> decoding(
+      DecodeErrorLog errors, String source, Function<HttpReply, T> decode, T fallback) {
     return reply -> {
       try {
-        return decode.apply(reply);
+        T decoded = decode.apply(reply);
+        if (reply.isSuccess()) {
+          errors.readable(source);
+        }
+        return decoded;
       } catch (MalformedMessageException e) {
-        LOG.warnf("malformed response: %s", e.getMessage());
+        errors.failed(source, e);
         return fallback;
       }
     };
--- a/src/test/java/org/plantainloom/platform/DamagedRecordTest.java
+++ b/src/test/java/org/plantainloom/platform/DamagedRecordTest.java
@@ -5,6 +5,7 @@
 import static org.plantainloom.platform.NodeFixture.SHORT_JOB;
 
 import org.plantainloom.platform.NodeFixture.RunningNode;
+import org.plantainloom.support.MessageMutator;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
--- a/src/test/java/org/plantainloom/platform/MessageMutator.java
+++ b/src/test/java/org/plantainloom/support/MessageMutator.java
@@ -1,4 +1,4 @@
-package org.plantainloom.platform;
+package org.plantainloom.support;
 
 import java.util.List;
 import java.util.Random;
@@ -28,7 +28,7 @@
 
   private final Random random;
 
-  /** Creates a mutator whose changes depend on the seed alone. */
+  /** Creates a mutator; equal seeds give equal changes. */
   public MessageMutator(long seed) {
     this.random = new Random(seed);
   }
--- a/src/test/java/org/plantainloom/transport/dispatch/PredecessorInquiryTest.java
+++ b/src/test/java/org/plantainloom/transport/dispatch/PredecessorInquiryTest.java
@@ -113,7 +113,7 @@
     public void should_reject_a_damaged_list(String text) {
       // then
       assertThatExceptionOfType(MalformedMessageException.class)
-          .isThrownBy(() -> Json.readStrictly(text, UnsettledOwners.class));
+          .isThrownBy(() -> Json.read(text, UnsettledOwners.class));
     }
 
     @DataProvider
--- a/src/test/java/org/plantainloom/transport/dispatch/StoredFleetTest.java
+++ b/src/test/java/org/plantainloom/transport/dispatch/StoredFleetTest.java
@@ -6,11 +6,11 @@
 import java.util.Map;
 import java.util.Optional;
 import org.plantainloom.coordination.dispatch.FleetMember;
-import org.plantainloom.platform.MessageMutator;
 import org.plantainloom.protocol.Json;
 import org.plantainloom.state.ResourceVector;
 import org.plantainloom.state.job.TaskKey;
 import org.plantainloom.state.job.WorkerRegistration;
+import org.plantainloom.support.MessageMutator;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
--- a/src/test/java/org/plantainloom/transport/dispatch/StoredJobTest.java
+++ b/src/test/java/org/plantainloom/transport/dispatch/StoredJobTest.java
@@ -9,7 +9,6 @@
 import org.plantainloom.coordination.dispatch.DecisionLog;
 import org.plantainloom.coordination.dispatch.DispatchPolicy;
 import org.plantainloom.coordination.dispatch.Dispatcher;
-import org.plantainloom.platform.MessageMutator;
 import org.plantainloom.protocol.Json;
 import org.plantainloom.protocol.MalformedMessageException;
 import org.plantainloom.state.ResourceVector;
@@ -17,6 +16,7 @@
 import org.plantainloom.state.job.JobSpec;
 import org.plantainloom.state.job.JobStatus;
 import org.plantainloom.state.job.PhaseSpec;
+import org.plantainloom.support.MessageMutator;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
