--- a/src/test/java/org/plantainloom/coordination/dispatch/HandoverSimulation.java
+++ b/src/test/java/org/plantainloom/coordination/dispatch/HandoverSimulation.java
@@ -29,7 +29,11 @@
   private static final int WORKERS = 4;
   private static final int JOBS = 6;
   private static final long FAULTS_END_MS = 15_000;
-  private static final long END_MS = 90_000;
+  private static final long END_MS = 60_000;
+
+  /** Long tasks that are lost begin again, so that jobs end later. */
+  private static final long END_OF_LONG_RUNS_MS = 90_000;
+
   private static final long STEP_MS = 25;
   private static final long MAX_LEASE_MS = 6_000;
   private static final long STOP_GRACE_MS = 400;
@@ -97,7 +101,7 @@
     for (int i = 0; i < 4; i++) {
       after(1_000 + random.nextInt((int) FAULTS_END_MS - 1_000), this::injectFault);
     }
-    while (nowMs < startMs + END_MS) {
+    while (nowMs < startMs + (longRuns ? END_OF_LONG_RUNS_MS : END_MS)) {
       nowMs += STEP_MS;
       while (!events.isEmpty() && events.peek().timeMs() <= nowMs) {
         events.poll().action().run();
