--- a/src/main/java/org/plantainloom/transport/dispatch/NodeContext.java
+++ b/src/main/java/org/plantainloom/transport/dispatch/NodeContext.java
@@ -19,7 +19,7 @@
  * @param policy timeouts and limits of the dispatcher
  * @param metrics the node's metrics
  * @param startedMs a time before which this process has sent no command, on the monotonic clock;
- *     the earlier it is, the sooner a new owner knows that its predecessor's leases are over
+ *     the earlier it is, the sooner a new owner knows that the leases of previous owners are over
  */
 public record NodeContext(
     String name,
--- a/src/main/java/org/plantainloom/transport/dispatch/OwnerElection.java
+++ b/src/main/java/org/plantainloom/transport/dispatch/OwnerElection.java
@@ -19,7 +19,7 @@
 /**
  * Elects the node that owns the workers. The owner holds a key under a lease; when the key is
  * absent, the first node to write it becomes the owner. The term is stored without a lease, grows
- * with each owner and serves as the fencing token against its predecessors.
+ * with each owner and serves as the fencing token against the owners before.
  *
  * <p>A key that another writer has overwritten is replaced by the next claim: it has no lease that
  * would remove it. An owner whose key was overwritten gives up the ownership, as it can store no
@@ -73,10 +73,13 @@
    * @param record the value of the owner key
    * @param leaseId the lease of the owner key
    * @param revision the revision at which this node wrote the owner key
-   * @param predecessors the owners whose leases may still be valid at workers; empty if unknown
+   * @param previousOwners the owners whose leases may still be valid at workers; empty if unknown
    */
   record Ownership(
-      OwnerRecord record, long leaseId, long revision, Optional<List<OwnerRecord>> predecessors) {}
+      OwnerRecord record,
+      long leaseId,
+      long revision,
+      Optional<List<OwnerRecord>> previousOwners) {}
 
   /** Receives changes of this node's ownership, on the event loop. */
   interface OwnershipListener {
@@ -296,11 +299,11 @@
     // A stored term below that of a known claim was not written by an owner.
     long term = Math.max(lastTerm.map(this::termOf).orElse(0L), lastClaimTerm) + 1;
     OwnerRecord record = new OwnerRecord(node.name(), node.controlAddress(), term);
-    Optional<List<OwnerRecord>> predecessors =
+    Optional<List<OwnerRecord>> previousOwners =
         lastTerm.isEmpty() && unsettledOwners.isEmpty()
             ? Optional.of(List.of())
-            : predecessors(unsettledOwners, term);
-    UnsettledOwners unsettled = UnsettledOwners.withSuccessor(predecessors, record);
+            : previousOwners(unsettledOwners, term);
+    UnsettledOwners unsettled = UnsettledOwners.withSuccessor(previousOwners, record);
     Transaction transaction =
         Transaction.start()
             .expect(StoreKeys.OWNER, invalidKeyRevision)
@@ -319,7 +322,7 @@
               && term >= smallestTerm) {
             owner = Optional.of(record);
             recordClaim(term, committed.revision());
-            ownership = new Ownership(record, leaseId, committed.revision(), predecessors);
+            ownership = new Ownership(record, leaseId, committed.revision(), previousOwners);
             lastRenewalMs = NodeContext.nowMs();
             LOG.infof("event=ownership-gained term=%d revision=%d", term, committed.revision());
             listener.onGained(ownership);
@@ -333,7 +336,7 @@
         });
   }
 
-  private static Optional<List<OwnerRecord>> predecessors(Optional<StoreItem> stored, long term) {
+  private static Optional<List<OwnerRecord>> previousOwners(Optional<StoreItem> stored, long term) {
     try {
       return stored.flatMap(
           item -> Json.read(item.value(), UnsettledOwners.class).ownersUpTo(term - 1));
--- a/src/main/java/org/plantainloom/transport/dispatch/OwnerSession.java
+++ b/src/main/java/org/plantainloom/transport/dispatch/OwnerSession.java
@@ -54,7 +54,7 @@
   private final DecisionLog decisionLog;
   private final Dispatcher dispatcher;
   private final ProgressWriter progressWriter;
-  private final Optional<PredecessorInquiry> predecessorInquiry;
+  private final Optional<PreviousOwnersInquiry> previousOwnersInquiry;
   private final long fencingToken;
   private final WorkerCalls calls;
   private final List<PrefixWatch> watches = new ArrayList<>();
@@ -100,22 +100,22 @@
     this.progressWriter =
         new ProgressWriter(
             node, eventLoop, delayedExecutor, dispatcher, ownership, this::scheduleRound);
-    this.predecessorInquiry = ownership.predecessors().map(this::inquire);
+    this.previousOwnersInquiry = ownership.previousOwners().map(this::inquire);
     this.startCounter = node.metrics().counter("runs.ordered");
     this.startReplyTimer = node.metrics().timer("runs.start-answer");
     this.roundTimer = node.metrics().timer("decisions.round");
     load();
   }
 
-  private PredecessorInquiry inquire(List<OwnerRecord> predecessors) {
+  private PreviousOwnersInquiry inquire(List<OwnerRecord> previousOwners) {
     dispatcher.previousOwnersKnown();
-    return new PredecessorInquiry(
+    return new PreviousOwnersInquiry(
             node.peers(),
             eventLoop,
             delayedExecutor,
             fencingToken,
             NodeContext.nowMs(),
-            predecessors,
+            previousOwners,
             dispatcher::previousOwnersStopped)
         .start();
   }
@@ -334,7 +334,7 @@
       return;
     }
     if (dispatcher.areInheritedLeasesOver(now)) {
-      predecessorInquiry.ifPresent(PredecessorInquiry::close);
+      previousOwnersInquiry.ifPresent(PreviousOwnersInquiry::close);
     }
     dispatcher.decide(now, NodeContext.wallMs()).forEach(order -> send(order, now));
     progressWriter.persist();
@@ -425,7 +425,7 @@
   public void close() {
     closed = true;
     watches.forEach(PrefixWatch::close);
-    predecessorInquiry.ifPresent(PredecessorInquiry::close);
+    previousOwnersInquiry.ifPresent(PreviousOwnersInquiry::close);
     progressWriter.close();
   }
 }
--- a/src/main/java/org/plantainloom/transport/dispatch/PredecessorInquiry.java
+++ b/src/main/java/org/plantainloom/transport/dispatch/PreviousOwnersInquiry.java
@@ -8,12 +8,12 @@
 import org.plantainloom.transport.duty.EventLoop;
 
 /**
- * Asks the owners before this one until each has stopped, so that the leases which they gave expire
- * at a known time. A predecessor that was killed answers once its process runs again; one that
- * never answers leaves the new owner with the time that it would wait for without asking.
+ * Asks the previous owners until each has stopped, so that the leases which they gave expire at a
+ * known time. A previous owner that was killed answers once its process runs again; one that never
+ * answers leaves the new owner with the time that it would wait for without asking.
  */
-final class PredecessorInquiry implements AutoCloseable {
-  private static final Logger LOG = Logger.getLogger(PredecessorInquiry.class);
+final class PreviousOwnersInquiry implements AutoCloseable {
+  private static final Logger LOG = Logger.getLogger(PreviousOwnersInquiry.class);
 
   /** A process that was killed runs again after one to two seconds. */
   private static final long RETRY_MS = 200;
@@ -35,24 +35,24 @@
    * @param stoppedListener called on the event loop, once all have stopped, with a time after which
    *     none of them has sent a command
    */
-  PredecessorInquiry(
+  PreviousOwnersInquiry(
       OwnerPeers peers,
       EventLoop eventLoop,
       PrefixWatch.DelayedExecutor delayedExecutor,
       long term,
       long ownedSinceMs,
-      List<OwnerRecord> predecessors,
+      List<OwnerRecord> previousOwners,
       LongConsumer stoppedListener) {
     this.peers = peers;
     this.eventLoop = eventLoop;
     this.delayedExecutor = delayedExecutor;
     this.term = term;
-    this.unanswered = new LinkedHashSet<>(predecessors);
+    this.unanswered = new LinkedHashSet<>(previousOwners);
     this.stoppedListener = stoppedListener;
-    this.stoppedMs = predecessors.isEmpty() ? ownedSinceMs : Long.MIN_VALUE;
+    this.stoppedMs = previousOwners.isEmpty() ? ownedSinceMs : Long.MIN_VALUE;
   }
 
-  PredecessorInquiry start() {
+  PreviousOwnersInquiry start() {
     if (unanswered.isEmpty()) {
       stoppedListener.accept(stoppedMs);
     }
@@ -83,7 +83,7 @@
 
   private void stopped(OwnerRecord owner, long idleMs) {
     LOG.infof(
-        "event=predecessor-stopped id=%s term=%d idleMs=%d", owner.node(), owner.term(), idleMs);
+        "event=previous-owner-stopped id=%s term=%d idleMs=%d", owner.node(), owner.term(), idleMs);
     stoppedMs = Math.max(stoppedMs, NodeContext.nowMs() - idleMs);
     unanswered.remove(owner);
     if (unanswered.isEmpty()) {
--- a/src/main/java/org/plantainloom/transport/dispatch/UnsettledOwners.java
+++ b/src/main/java/org/plantainloom/transport/dispatch/UnsettledOwners.java
@@ -24,7 +24,7 @@
     }
   }
 
-  /** Returns the list of an owner whose predecessors' leases have all expired. */
+  /** Returns the list of an owner when the leases of those before it have all expired. */
   static UnsettledOwners settled(OwnerRecord owner) {
     return new UnsettledOwners(owner.term(), true, List.of(owner));
   }
@@ -32,12 +32,12 @@
   /**
    * Returns the list that a new owner writes.
    *
-   * @param predecessors the owners before it; empty if one of them may be unknown
+   * @param previousOwners the owners before it; empty if one of them may be unknown
    */
   static UnsettledOwners withSuccessor(
-      Optional<List<OwnerRecord>> predecessors, OwnerRecord successor) {
-    List<OwnerRecord> owners = new ArrayList<>(predecessors.orElse(List.of()));
-    boolean complete = predecessors.isPresent() && owners.size() < MAX_OWNERS;
+      Optional<List<OwnerRecord>> previousOwners, OwnerRecord successor) {
+    List<OwnerRecord> owners = new ArrayList<>(previousOwners.orElse(List.of()));
+    boolean complete = previousOwners.isPresent() && owners.size() < MAX_OWNERS;
     if (!complete) {
       owners.clear();
     }
--- a/src/test/java/org/plantainloom/transport/dispatch/PredecessorInquiryTest.java
+++ b/src/test/java/org/plantainloom/transport/dispatch/PreviousOwnersInquiryTest.java
@@ -19,7 +19,7 @@
 import org.testng.annotations.Test;
 
 /** Tests how a new owner finds out when the owners before it have stopped. */
-public class PredecessorInquiryTest {
+public class PreviousOwnersInquiryTest {
   /** Limit of a wait; no test asserts how long a wait takes. */
   private static final long AWAIT_TIMEOUT_S = 30;
 
@@ -41,7 +41,7 @@
   /** Asking the owners. */
   public static class Asking {
     @Test
-    public void should_ask_again_until_each_predecessor_has_stopped() throws Exception {
+    public void should_ask_again_until_each_previous_owner_has_stopped() throws Exception {
       // given: one has stopped, the other does not answer
       Peers peers = new Peers();
       peers.idleMs.put(FIRST, 50L);
@@ -78,9 +78,9 @@
       }
     }
 
-    private static PredecessorInquiry inquiry(
+    private static PreviousOwnersInquiry inquiry(
         Peers peers, EventLoop loop, List<OwnerRecord> owners, BlockingQueue<Long> stopped) {
-      return new PredecessorInquiry(
+      return new PreviousOwnersInquiry(
           peers, loop, (delay, action) -> loop.execute(action), 3, 0, owners, stopped::add);
     }
   }
