--- a/src/test/java/org/plantainloom/coordination/dispatch/HandoverSimulation.java
+++ b/src/test/java/org/plantainloom/coordination/dispatch/HandoverSimulation.java
@@ -8,18 +8,12 @@
 import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.Set;
-import org.plantainloom.state.ResourceVector;
-import org.plantainloom.state.job.ActiveRun;
 import org.plantainloom.state.job.CommandReply;
-import org.plantainloom.state.job.EndedRun;
 import org.plantainloom.state.job.JobProgress;
 import org.plantainloom.state.job.JobSpec;
 import org.plantainloom.state.job.JobStatus;
 import org.plantainloom.state.job.PollReply;
-import org.plantainloom.state.job.RunOutcome;
 import org.plantainloom.state.job.TaskKey;
-import org.plantainloom.state.job.WorkerRegistration;
-import org.plantainloom.state.job.WorkerSnapshot;
 
 /**
  * Owners that follow each other, workers that check fencing tokens, and a network that delays
@@ -35,7 +29,7 @@
   private static final long END_OF_LONG_RUNS_MS = 90_000;
 
   private static final long STEP_MS = 25;
-  private static final long MAX_LEASE_MS = 6_000;
+  static final long MAX_LEASE_MS = 6_000;
   private static final long STOP_GRACE_MS = 400;
 
   /** A call without an answer counts as lost after this time. */
@@ -50,7 +44,7 @@
   private final boolean longRuns;
   private final Random random;
   private final PriorityQueue<Event> events = new PriorityQueue<>();
-  private final List<Worker> workers = new ArrayList<>();
+  private final List<HandoverWorker> workers = new ArrayList<>();
   private final List<Owner> owners = new ArrayList<>();
   private final List<JobSpec> jobs = new ArrayList<>();
   private final Map<String, JobProgress> stored = new HashMap<>();
@@ -71,12 +65,6 @@
     }
   }
 
-  private record RunningTask(long run, long startMs, long endMs) {
-    int percent(long nowMs) {
-      return (int) (100 * (nowMs - startMs) / (endMs - startMs));
-    }
-  }
-
   /**
    * Creates a schedule.
    *
@@ -87,10 +75,15 @@
     this.longRuns = longRuns;
     this.random = new Random(seed);
     for (int i = 0; i < WORKERS; i++) {
-      workers.add(new Worker("w" + i));
+      workers.add(
+          new HandoverWorker("w" + i, () -> nowMs, this::nextRunTimeMs, persistedEnds, violations));
     }
   }
 
+  private int nextRunTimeMs() {
+    return 300 + random.nextInt(longRuns ? 15_000 : 2_500);
+  }
+
   /** Runs the schedule and returns what was broken. */
   List<String> run() {
     owners.add(new Owner(1));
@@ -106,7 +99,7 @@
       while (!events.isEmpty() && events.peek().timeMs() <= nowMs) {
         events.poll().action().run();
       }
-      workers.forEach(Worker::advance);
+      workers.forEach(HandoverWorker::advance);
       owners.forEach(Owner::tick);
       checkOverlaps();
     }
@@ -154,14 +147,14 @@
       }
       case 4 -> loseRegistration(workers.get(random.nextInt(WORKERS)));
       default -> {
-        Worker worker = workers.get(random.nextInt(WORKERS));
+        HandoverWorker worker = workers.get(random.nextInt(WORKERS));
         worker.silentUntilMs = nowMs + random.nextInt(9_000);
       }
     }
   }
 
   /** A registration expires with the store although its worker lives, and is back seconds later. */
-  private void loseRegistration(Worker worker) {
+  private void loseRegistration(HandoverWorker worker) {
     if (random.nextBoolean()) {
       worker.draining = true;
       currentOwner().dispatcher.workerRegistered(worker.registration(), nowMs);
@@ -186,7 +179,7 @@
     List<Owner> predecessors = List.copyOf(owners);
     owners.add(successor);
     if (longRuns && random.nextInt(3) == 0) {
-      Worker cut = workers.get(random.nextInt(WORKERS));
+      HandoverWorker cut = workers.get(random.nextInt(WORKERS));
       cut.cutFromTerm = successor.term;
       cut.cutUntilMs = nowMs + CUT_MS;
     }
@@ -209,7 +202,7 @@
 
   private void checkOverlaps() {
     Map<TaskKey, String> running = new HashMap<>();
-    for (Worker worker : workers) {
+    for (HandoverWorker worker : workers) {
       for (TaskKey task : worker.running.keySet()) {
         String other = running.put(task, worker.id);
         if (other != null) {
@@ -305,7 +298,7 @@
 
   /** Sends a command; it and its answer take their time, and either may be lost. */
   private void send(Owner owner, DispatchCommand command) {
-    Worker worker =
+    HandoverWorker worker =
         workers.stream().filter(w -> w.id.equals(command.worker().id())).findFirst().orElseThrow();
     long sentMs = nowMs;
     boolean faulty = nowMs < startMs + FAULTS_END_MS && random.nextInt(40) == 0;
@@ -314,11 +307,11 @@
     after(
         delayMs,
         () -> {
-          if (nowMs < worker.silentUntilMs || worker.isCutFrom(owner)) {
+          if (nowMs < worker.silentUntilMs || worker.isCutFrom(owner.term)) {
             after(CALL_TIMEOUT_MS, () -> owner.receive(lost(owner, command)));
             return;
           }
-          Runnable reply = worker.execute(owner, command, sentMs);
+          Runnable reply = worker.execute(owner.term, owner.dispatcher, command, sentMs);
           if (!faulty) {
             after(1 + random.nextInt(30) + replyDelayMs(command), () -> owner.receive(reply));
           }
@@ -343,126 +336,4 @@
         dispatcher.pollAnswered(
             command.worker(), new PollReply.Unavailable("no answer"), nowMs, nowMs);
   }
-
-  /** A worker that does what its protocol says, fencing included. */
-  private final class Worker {
-    final String id;
-    boolean registered = true;
-    boolean draining;
-    final Map<TaskKey, RunningTask> running = new HashMap<>();
-    private final Map<TaskKey, Long> closedRuns = new HashMap<>();
-    private final List<EndedRun> ended = new ArrayList<>();
-    long silentUntilMs;
-    int cutFromTerm = Integer.MAX_VALUE;
-    long cutUntilMs;
-    private long token;
-    private long leaseUntilMs;
-    private long lastEnd;
-
-    Worker(String id) {
-      this.id = id;
-    }
-
-    boolean isCutFrom(Owner owner) {
-      return owner.term >= cutFromTerm && nowMs < cutUntilMs;
-    }
-
-    WorkerRegistration registration() {
-      return new WorkerRegistration(
-          id,
-          "service",
-          id + ":1",
-          "zone-1",
-          draining,
-          new ResourceVector(8_000, 32_000, 0),
-          List.of("a", "r1"),
-          7,
-          nowMs);
-    }
-
-    void advance() {
-      for (TaskKey task : List.copyOf(running.keySet())) {
-        if (nowMs > leaseUntilMs) {
-          end(task, RunOutcome.LEASE_LAPSED);
-        } else if (nowMs >= running.get(task).endMs()) {
-          end(task, RunOutcome.DONE);
-        }
-      }
-    }
-
-    private void end(TaskKey task, RunOutcome outcome) {
-      long run = running.remove(task).run();
-      closedRuns.merge(task, run, Math::max);
-      ended.add(new EndedRun(++lastEnd, task, run, outcome, ""));
-    }
-
-    /** Executes a command and returns what the owner does with the reply. */
-    Runnable execute(Owner owner, DispatchCommand command, long sentMs) {
-      Dispatcher dispatcher = owner.dispatcher;
-      boolean fenced = owner.term < token;
-      token = Math.max(token, owner.term);
-      if (command instanceof DispatchCommand.Start start) {
-        CommandReply reply = fenced ? CommandReply.FENCED : start(start);
-        return () -> dispatcher.startAnswered(start, reply, nowMs);
-      } else if (command instanceof DispatchCommand.Stop stop) {
-        if (!fenced) {
-          stop(stop);
-        }
-        CommandReply reply = fenced ? CommandReply.FENCED : CommandReply.OK;
-        return () -> dispatcher.stopAnswered(stop, reply, nowMs);
-      } else if (command instanceof DispatchCommand.Poll poll) {
-        PollReply reply = fenced ? new PollReply.Fenced() : poll(poll);
-        return () -> dispatcher.pollAnswered(registration(), reply, sentMs, nowMs);
-      }
-      return () -> {};
-    }
-
-    private CommandReply start(DispatchCommand.Start start) {
-      TaskKey task = start.command().task();
-      long run = start.command().run();
-      RunningTask present = running.get(task);
-      if (present != null && present.run() == run) {
-        return CommandReply.OK;
-      }
-      if (start.leaseUntilMs() < nowMs) {
-        return CommandReply.TOO_LATE;
-      }
-      leaseUntilMs = Math.max(leaseUntilMs, Math.min(start.leaseUntilMs(), nowMs + MAX_LEASE_MS));
-      if (run <= closedRuns.getOrDefault(task, 0L) || present != null) {
-        return CommandReply.RUN_SUPERSEDED;
-      }
-      if (persistedEnds.contains(task)) {
-        violations.add(task + "#" + run + " starts after its end was persisted");
-      }
-      running.put(
-          task,
-          new RunningTask(run, nowMs, nowMs + 300 + random.nextInt(longRuns ? 15_000 : 2_500)));
-      return CommandReply.OK;
-    }
-
-    private void stop(DispatchCommand.Stop stop) {
-      closedRuns.merge(stop.task(), stop.number(), Math::max);
-      RunningTask present = running.get(stop.task());
-      if (present != null && present.run() <= stop.number()) {
-        end(stop.task(), RunOutcome.STOPPED);
-      }
-    }
-
-    private PollReply poll(DispatchCommand.Poll poll) {
-      poll.leaseUntilMs()
-          .ifPresent(
-              until ->
-                  leaseUntilMs = Math.max(leaseUntilMs, Math.min(until, nowMs + MAX_LEASE_MS)));
-      for (EndedRun end : ended) {
-        if (end.sequenceNumber() <= poll.acknowledged() && end.kind() == RunOutcome.DONE) {
-          persistedEnds.add(end.task());
-        }
-      }
-      ended.removeIf(end -> end.sequenceNumber() <= poll.acknowledged());
-      List<ActiveRun> runs = new ArrayList<>();
-      running.forEach(
-          (task, run) -> runs.add(new ActiveRun(task, run.run(), "", run.percent(nowMs), 1_000)));
-      return new PollReply.Answered(new WorkerSnapshot(nowMs, 7, runs, List.copyOf(ended)));
-    }
-  }
 }
