--- a/src/main/java/org/plantainloom/coordination/dispatch/DispatchPolicy.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/DispatchPolicy.java
@@ -23,9 +23,9 @@
     long fencingDelayMs,
     long takeoverTimeoutMs) {
   /**
-   * Longest lease, where the platform allows it. Running tasks have to survive a change of owner: 3
-   * s until the key of a lost owner is gone, 1 s to elect and to reach the workers, and 1 s since
-   * the last renewal. A longer lease only delays the restart of tasks whose worker is lost.
+   * Longest lease, even if the platform allows more. Running tasks have to survive a change of
+   * owner: 3 s until the key of a lost owner is gone, 1 s to elect and to reach the workers, and 1
+   * s since the last renewal. A longer lease only delays the restart of tasks of lost workers.
    */
   private static final long MAX_LEASE_MS = 6_000;
 
--- a/src/main/java/org/plantainloom/transport/dispatch/OwnerElection.java
+++ b/src/main/java/org/plantainloom/transport/dispatch/OwnerElection.java
@@ -268,7 +268,8 @@
   }
 
   /**
-   * The list cannot change before the claim without a change of the term, which the claim checks.
+   * Reads the list after the term. Until the claim, which requires that term, its owner may only
+   * have shortened the list.
    */
   private void readUnsettledOwners(Optional<StoreItem> term) {
     eventLoop.onResult(
