Keep the case of the draining worker within the named limits

The worker was cut off from the store for 5.5 s, where 5 s is named; now 5 s, and 5.5 s from the machines.

--- a/review/rig/DrainCase.java
+++ b/review/rig/DrainCase.java
@@ -5,7 +5,8 @@
   private static final String JOB = "00000000000000e1";
   private static final long CUT_AFTER_DRAIN_MS = 1_000;
   private static final long STOP_AFTER_CUT_MS = 300;
-  private static final long CUT_MS = 5_500;
+  private static final long STORE_CUT_MS = 5_000;
+  private static final long MACHINES_CUT_MS = 5_500;
 
   public static void main(String[] args) {
     Rig.run(DrainCase::breaksRule);
@@ -28,12 +29,17 @@
     Http.sleep(CUT_AFTER_DRAIN_MS);
     if (rig.trouble) {
       leaving.setCut(true);
+      leaving.setCutFromStore(true);
       Log.line("rig", "lease of " + leaving.id + " ends in " + leaving.leaseLeftMs() + " ms, its last report was "
           + leaving.sinceBeatMs() + " ms ago");
     }
     Http.sleep(STOP_AFTER_CUT_MS);
     owner.signal("TERM");
-    Http.sleep(CUT_MS - STOP_AFTER_CUT_MS);
+    Http.sleep(STORE_CUT_MS - STOP_AFTER_CUT_MS);
+    if (rig.trouble) {
+      leaving.setCutFromStore(false);
+    }
+    Http.sleep(MACHINES_CUT_MS - STORE_CUT_MS);
     if (rig.trouble) {
       leaving.setCut(false);
     }
--- a/review/rig/Worker.java
+++ b/review/rig/Worker.java
@@ -81,6 +81,7 @@
   private String state = "ready";
   private boolean unhealthy;
   private boolean cut;
+  private boolean cutFromStore;
   private boolean down;
   private boolean dark;
 
@@ -129,10 +130,16 @@
     Log.line(id, newUnhealthy ? "turns away all starts with 503" : "takes starts again");
   }
 
-  /** Cuts the worker off from all machines and from the store, or heals the cut. */
+  /** Cuts the worker off from the store, or heals the cut. */
+  synchronized void setCutFromStore(boolean newCut) {
+    cutFromStore = newCut;
+    Log.line(id, newCut ? "cut off from the store" : "reaches the store again");
+  }
+
+  /** Cuts the worker off from all machines, or heals the cut. */
   synchronized void setCut(boolean newCut) {
     cut = newCut;
-    Log.line(id, newCut ? "cut off, runs on" : "cut healed");
+    Log.line(id, newCut ? "cut off from all machines, runs on" : "machines reach it again");
     notifyAll();
   }
 
@@ -223,7 +230,7 @@
   }
 
   private void tick() {
-    if (!cut && Http.nowMs() - lastBeatMs >= heartbeatMs) {
+    if (!cutFromStore && Http.nowMs() - lastBeatMs >= heartbeatMs) {
       beat();
     }
     if (leaseUntilMs != 0 && clock() > leaseUntilMs) {
