--- a/src/main/java/org/plantainloom/coordination/dispatch/JobState.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/JobState.java
@@ -79,6 +79,14 @@
     return true;
   }
 
+  /** Returns the phases whose tasks last. */
+  List<PhaseState> lastingPhases() {
+    return occurrences.stream()
+        .flatMap(List::stream)
+        .filter(phase -> phase.spec.lasting())
+        .toList();
+  }
+
   void forEachTask(Consumer<TaskState> action) {
     occurrences.forEach(phases -> phases.forEach(phase -> phase.tasks.forEach(action)));
   }
--- a/src/main/java/org/plantainloom/coordination/dispatch/Placement.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/Placement.java
@@ -85,6 +85,17 @@
     return best;
   }
 
+  /** Returns whether a lasting task would fit on a worker that is kept for short tasks. */
+  boolean fitsOnKeptWorker(
+      PhaseState phase, String service, Collection<WorkerState> workers, long nowMs) {
+    return workers.stream()
+        .anyMatch(
+            worker ->
+                worker.registration.service().equals(service)
+                    && reserve.isClosedToLasting(worker)
+                    && admitsUnreserved(worker, phase, nowMs));
+  }
+
   /** Returns whether any new task may start on a worker. */
   boolean isUsable(WorkerState worker, long nowMs) {
     return worker.registered
@@ -98,13 +109,15 @@
   }
 
   private boolean admits(WorkerState worker, PhaseState phase, long nowMs) {
+    return !(phase.spec.lasting() && reserve.isClosedToLasting(worker))
+        && admitsUnreserved(worker, phase, nowMs);
+  }
+
+  private boolean admitsUnreserved(WorkerState worker, PhaseState phase, long nowMs) {
     PhaseSpec spec = phase.spec;
     if (!isUsable(worker, nowMs) || !fits(worker, spec)) {
       return false;
     }
-    if (spec.lasting() && reserve.isClosedToLasting(worker)) {
-      return false;
-    }
     if (!spec.requiredLabel().isEmpty()
         && !worker.registration.labels().contains(spec.requiredLabel())) {
       return false;
--- a/src/main/java/org/plantainloom/coordination/dispatch/TaskStarter.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/TaskStarter.java
@@ -21,6 +21,7 @@
   private final RunLifecycle runs;
   private final Placement placement;
   private final ShortTaskReserve reserve;
+  private final LastingTaskWaits lastingTaskWaits;
   private int unansweredStarts;
   private final PhaseRanking ranking = new PhaseRanking(ClusterConfig.UNKNOWN);
   private ClusterConfig config = ClusterConfig.UNKNOWN;
@@ -36,6 +37,7 @@
     this.log = log;
     this.runs = runs;
     this.placement = placement;
+    this.lastingTaskWaits = new LastingTaskWaits(log, placement);
   }
 
   void configure(ClusterConfig newConfig) {
@@ -92,6 +94,7 @@
       }
       startPhase(next.phase(), workers, failures, commands, nowMs);
     }
+    lastingTaskWaits.logIfDue(open, workers, caughtUp, this::serviceOf, nowMs, wallMs);
     return commands;
   }
 
@@ -100,6 +103,10 @@
     unansweredStarts--;
   }
 
+  private String serviceOf(PhaseState phase) {
+    return config.queue(phase.job.spec.queue()).map(q -> q.service()).orElse("");
+  }
+
   private record RankedPhase(PhaseRanking.Rank rank, PhaseState phase) {}
 
   private void startPhase(
@@ -109,7 +116,7 @@
       List<DispatchCommand> commands,
       long nowMs) {
     JobState job = phase.job;
-    String service = config.queue(job.spec.queue()).map(q -> q.service()).orElse("");
+    String service = serviceOf(phase);
     if (failures.covers(phase, service)) {
       return;
     }
