--- a/src/test/java/org/plantainloom/coordination/dispatch/DispatcherSimulation.java
+++ b/src/test/java/org/plantainloom/coordination/dispatch/DispatcherSimulation.java
@@ -184,6 +184,12 @@
     return this;
   }
 
+  /** The previous owner does not tell the next one when it stopped. */
+  DispatcherSimulation previousOwnerNeverAnswers() {
+    previousOwnersStoppedMs = OptionalLong.empty();
+    return this;
+  }
+
   private void persistFleet() {
     dispatcher
         .unpersistedFleet()
--- a/src/test/java/org/plantainloom/coordination/dispatch/LastingTaskDowntimeTest.java
+++ b/src/test/java/org/plantainloom/coordination/dispatch/LastingTaskDowntimeTest.java
@@ -92,6 +92,24 @@
     assertThat(simulation.runningCopies(TASK)).isEqualTo(1);
   }
 
+  /** Regression (LOST): each owner began the wait for the lease of a silent worker anew. */
+  @Test(groups = "known-red")
+  public void should_not_wait_for_a_silent_worker_anew_when_the_owner_in_between_is_gone() {
+    // given: the first owner stored that the worker is silent, and its process runs on
+    DispatcherSimulation simulation = simulation(DispatcherSimulation.MAX_LEASE_MS);
+    loseHolder(simulation);
+    simulation.run(500);
+    simulation.runWithoutOwner(CHANGE_OF_OWNER_MS).previousOwnerIsRestarted();
+    startOwner(simulation, 2);
+    simulation.run(2_000);
+    // when: the second owner, which never reached that worker, is gone for good
+    simulation.previousOwnerNeverAnswers().runWithoutOwner(CHANGE_OF_OWNER_MS);
+    startOwner(simulation, 3);
+    // then: the lease has ended before, 9.5 s after the loss
+    simulation.run(500);
+    assertThat(simulation.runningCopies(TASK)).isEqualTo(1);
+  }
+
   @Test(groups = "known-red")
   public void should_restart_a_lasting_task_in_time_when_the_owner_never_answers() {
     // given
