--- a/src/test/java/org/plantainloom/coordination/dispatch/HandoverExplorationTest.java
+++ b/src/test/java/org/plantainloom/coordination/dispatch/HandoverExplorationTest.java
@@ -21,14 +21,14 @@
 
   @DataProvider
   public static Object[][] scenarios() {
-    return Arrays.stream(HandoverSimulation.Scenario.values())
+    return Arrays.stream(HandoverScenario.values())
         .map(scenario -> new Object[] {scenario})
         .toArray(Object[][]::new);
   }
 
   @Test(dataProvider = "scenarios")
   public void should_run_each_task_in_one_place_and_never_after_its_end_is_persisted(
-      HandoverSimulation.Scenario scenario) {
+      HandoverScenario scenario) {
     for (long seed = FIRST_SEED; seed < FIRST_SEED + SCHEDULES; seed++) {
       // when
       HandoverSimulation simulation = new HandoverSimulation(seed, scenario);
--- a/src/test/java/org/plantainloom/coordination/dispatch/HandoverSimulation.java
+++ b/src/test/java/org/plantainloom/coordination/dispatch/HandoverSimulation.java
@@ -40,9 +40,6 @@
   /** The rates at which clocks may run. */
   private static final double[] CLOCK_RATES = {0.98, 1, 1.02};
 
-  /** The zone of the store; the other one is cut off from it. */
-  private static final int STORE_ZONE = 1;
-
   private static final long SHORTEST_ZONE_CUT_MS = 3_000;
   private static final int ZONE_CUT_RANGE_MS = 12_000;
 
@@ -52,35 +49,7 @@
   /** How long a worker that only new owners cannot reach stays out of their reach. */
   private static final long CUT_MS = 16_000;
 
-  /** What a schedule holds beside pauses, changes of the owner and silent workers. */
-  enum Scenario {
-    SHORT_RUNS(false, false),
-    /** Tasks outlast several leases, and new owners cannot reach some worker. */
-    LONG_RUNS(true, false),
-    /**
-     * The same, and a zone is cut off, with the owner or without it, also in one direction only.
-     */
-    ZONE_CUTS(true, true);
-
-    private final boolean longRuns;
-    private final boolean zoneCuts;
-
-    Scenario(boolean longRuns, boolean zoneCuts) {
-      this.longRuns = longRuns;
-      this.zoneCuts = zoneCuts;
-    }
-  }
-
-  /** A cut between the zones, in one direction or in both. */
-  private record ZoneCut(long untilMs, boolean fromStoreZone, boolean toStoreZone) {
-    boolean drops(int fromZone, int toZone, long nowMs) {
-      return nowMs < untilMs
-          && fromZone != toZone
-          && (fromZone == STORE_ZONE ? fromStoreZone : toStoreZone);
-    }
-  }
-
-  private final Scenario scenario;
+  private final HandoverScenario scenario;
   private final Random random;
   private final PriorityQueue<Event> events = new PriorityQueue<>();
   private final List<HandoverWorker> workers = new ArrayList<>();
@@ -92,7 +61,7 @@
   private final List<String> violations = new ArrayList<>();
   private long nowMs = 1_000_000;
   private final long startMs = nowMs;
-  private ZoneCut zoneCut = new ZoneCut(0, false, false);
+  private ZoneCut zoneCut = ZoneCut.NONE;
   private long sequence;
   private long revision;
 
@@ -105,7 +74,7 @@
     }
   }
 
-  HandoverSimulation(long seed, Scenario scenario) {
+  HandoverSimulation(long seed, HandoverScenario scenario) {
     this.scenario = scenario;
     this.random = new Random(seed);
     for (int i = 0; i < WORKERS; i++) {
@@ -130,7 +99,7 @@
   }
 
   private int nextRunTimeMs() {
-    return 300 + random.nextInt(scenario.longRuns ? 15_000 : 2_500);
+    return 300 + random.nextInt(scenario.hasLongRuns() ? 15_000 : 2_500);
   }
 
   /** Runs the schedule and returns what was broken. */
@@ -143,10 +112,10 @@
     for (int i = 0; i < 4; i++) {
       after(1_000 + random.nextInt((int) FAULTS_END_MS - 1_000), this::injectFault);
     }
-    if (scenario.zoneCuts) {
+    if (scenario.hasZoneCuts()) {
       after(2_000 + random.nextInt(8_000), this::cutZone);
     }
-    while (nowMs < startMs + (scenario.longRuns ? END_OF_LONG_RUNS_MS : END_MS)) {
+    while (nowMs < startMs + (scenario.hasLongRuns() ? END_OF_LONG_RUNS_MS : END_MS)) {
       nowMs += STEP_MS;
       while (!events.isEmpty() && events.peek().timeMs() <= nowMs) {
         events.poll().action().run();
@@ -219,7 +188,7 @@
   }
 
   private void registerAgain(HandoverWorker worker) {
-    if (zoneCut.drops(worker.zone, STORE_ZONE, nowMs)) {
+    if (zoneCut.drops(worker.zone, ZoneCut.STORE_ZONE, nowMs)) {
       after(500, () -> registerAgain(worker));
       return;
     }
@@ -242,14 +211,14 @@
     int directions = random.nextInt(4);
     zoneCut = new ZoneCut(nowMs + cutMs, directions != 0, directions != 1);
     Owner owner = currentOwner();
-    if (owner.zone != STORE_ZONE) {
+    if (owner.zone != ZoneCut.STORE_ZONE) {
       // The store may also remove the key of an owner that it cannot reach at once.
       after(
           random.nextBoolean() ? OwnershipLease.KEY_TTL_MS : random.nextInt(500),
           () -> replaceIfCutOff(owner));
     }
     for (HandoverWorker worker : workers) {
-      if (worker.zone != STORE_ZONE && random.nextBoolean()) {
+      if (worker.zone != ZoneCut.STORE_ZONE && random.nextBoolean()) {
         after(REGISTRATION_EXPIRY_MS, () -> loseRegistration(worker));
       }
     }
@@ -262,12 +231,12 @@
   }
 
   private void replaceOwner() {
-    int zone = nowMs < zoneCut.untilMs() ? STORE_ZONE : random.nextInt(2);
+    int zone = nowMs < zoneCut.untilMs() ? ZoneCut.STORE_ZONE : random.nextInt(2);
     Owner successor = new Owner(owners.size() + 1, zone);
     successor.dispatcher.previousOwnersKnown();
     List<Owner> predecessors = List.copyOf(owners);
     owners.add(successor);
-    if (scenario.longRuns && random.nextInt(3) == 0) {
+    if (scenario.hasLongRuns() && random.nextInt(3) == 0) {
       HandoverWorker cut = workers.get(random.nextInt(WORKERS));
       cut.cutFromTerm = successor.term;
       cut.cutUntilMs = nowMs + CUT_MS;
@@ -368,7 +337,8 @@
     }
 
     private boolean reachesStore() {
-      return !zoneCut.drops(zone, STORE_ZONE, nowMs) && !zoneCut.drops(STORE_ZONE, zone, nowMs);
+      return !zoneCut.drops(zone, ZoneCut.STORE_ZONE, nowMs)
+          && !zoneCut.drops(ZoneCut.STORE_ZONE, zone, nowMs);
     }
 
     /**
