--- a/src/main/java/org/plantainloom/coordination/dispatch/LastingTaskWaits.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/LastingTaskWaits.java
@@ -2,6 +2,7 @@
 
 import java.util.Collection;
 import java.util.EnumMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Function;
@@ -65,34 +66,29 @@
     Optional<TaskState> first = Optional.empty();
     for (JobState job : open) {
       for (PhaseState phase : job.lastingPhases()) {
-        if (!phase.isReady(wallMs)) {
+        List<TaskState> waiting = phase.isReady(wallMs) ? notRunning(phase) : List.of();
+        if (waiting.isEmpty()) {
           continue;
         }
-        Optional<Reason> placementReason = Optional.empty();
-        for (TaskState task : phase.tasks) {
-          if (task.done || !task.runs.isEmpty()) {
-            continue;
-          }
-          Reason reason;
-          if (task.possibleWorker != null) {
-            reason = Reason.SILENT_WORKER;
-          } else if (!caughtUp && job.inherited) {
-            reason = Reason.TAKEOVER;
-          } else {
-            if (placementReason.isEmpty()) {
-              placementReason = Optional.of(reason(phase, serviceOf.apply(phase), workers, nowMs));
-            }
-            reason = placementReason.get();
-          }
-          counts.merge(reason, 1, Integer::sum);
-          first = first.isPresent() ? first : Optional.of(task);
+        Reason unlessHeldBack =
+            !caughtUp && job.inherited
+                ? Reason.TAKEOVER
+                : placementReason(phase, serviceOf.apply(phase), workers, nowMs);
+        for (TaskState task : waiting) {
+          boolean heldBack = task.possibleWorker != null;
+          counts.merge(heldBack ? Reason.SILENT_WORKER : unlessHeldBack, 1, Integer::sum);
         }
+        first = first.isPresent() ? first : Optional.of(waiting.get(0));
       }
     }
     first.ifPresent(task -> log.logDecision("lasting-tasks-wait", task.key, describe(counts)));
   }
 
-  private Reason reason(
+  private static List<TaskState> notRunning(PhaseState phase) {
+    return phase.tasks.stream().filter(task -> !task.done && task.runs.isEmpty()).toList();
+  }
+
+  private Reason placementReason(
       PhaseState phase, String service, Collection<WorkerState> workers, long nowMs) {
     if (placement.choose(phase, service, workers, nowMs) != null) {
       return Reason.STARTING;
--- a/src/main/java/org/plantainloom/transport/dispatch/Node.java
+++ b/src/main/java/org/plantainloom/transport/dispatch/Node.java
@@ -82,7 +82,7 @@
     }
 
     @Override
-    public void onGained(OwnerElection.Ownership ownership) {
+    public void onGained(Ownership ownership) {
       session =
           Optional.of(
               new OwnerSession(
--- a/src/main/java/org/plantainloom/transport/dispatch/OwnerElection.java
+++ b/src/main/java/org/plantainloom/transport/dispatch/OwnerElection.java
@@ -70,23 +70,6 @@
   /** Revision of the last unreadable term that was logged, as a claim may be repeated often. */
   private long reportedTermRevision;
 
-  /**
-   * This node's ownership of the workers.
-   *
-   * @param record the value of the owner key
-   * @param leaseId the lease of the owner key
-   * @param revision the revision at which this node wrote the owner key
-   * @param previousOwners the owners whose leases may still be valid at workers; empty if unknown
-   * @param validity until when this node may act as the owner; each confirmation by the store
-   *     extends it
-   */
-  record Ownership(
-      OwnerRecord record,
-      long leaseId,
-      long revision,
-      Optional<List<OwnerRecord>> previousOwners,
-      OwnershipLease validity) {}
-
   /** Receives changes of this node's ownership, on the event loop. */
   interface OwnershipListener {
     /** Called when this node has become the owner. */
--- a/src/main/java/org/plantainloom/transport/dispatch/OwnerSession.java
+++ b/src/main/java/org/plantainloom/transport/dispatch/OwnerSession.java
@@ -86,7 +86,7 @@
       PrefixWatch.DelayedExecutor delayedExecutor,
       OwnerElection election,
       ClusterView cluster,
-      OwnerElection.Ownership ownership) {
+      Ownership ownership) {
     this.node = node;
     this.eventLoop = eventLoop;
     this.delayedExecutor = delayedExecutor;
--- a/src/main/java/org/plantainloom/transport/dispatch/ProgressWriter.java
+++ b/src/main/java/org/plantainloom/transport/dispatch/ProgressWriter.java
@@ -41,7 +41,7 @@
   private final EventLoop eventLoop;
   private final PrefixWatch.DelayedExecutor delayedExecutor;
   private final Dispatcher dispatcher;
-  private final OwnerElection.Ownership ownership;
+  private final Ownership ownership;
   private final Runnable scheduleRound;
   private final Counter commitCounter;
   private boolean ownersSettled;
@@ -54,7 +54,7 @@
       EventLoop eventLoop,
       PrefixWatch.DelayedExecutor delayedExecutor,
       Dispatcher dispatcher,
-      OwnerElection.Ownership ownership,
+      Ownership ownership,
       Runnable scheduleRound) {
     this.node = node;
     this.eventLoop = eventLoop;
