--- a/src/main/java/org/plantainloom/coordination/dispatch/Dispatcher.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/Dispatcher.java
@@ -34,8 +34,6 @@
   /** Delay before a worker that did not answer is polled again. */
   private static final long POLL_RETRY_DELAY_MS = 200;
 
-  private static final long STOP_RETRY_INTERVAL_MS = 300;
-
   /** Delay before a refused start is retried; a poll in between corrects the worker's state. */
   private static final long REFUSED_START_DELAY_MS = 500;
 
@@ -262,7 +260,7 @@
           starter.start(jobs.openJobs(), workers.all(), takeover.isCaughtUp(), nowMs, wallMs));
     }
     for (WorkerState worker : workers.all()) {
-      addStopCommands(worker, commands, nowMs);
+      RunStops.addDue(worker, commands, nowMs);
       polls.pollIfDue(worker, nowMs, wallMs).ifPresent(commands::add);
     }
     return commands;
@@ -299,23 +297,6 @@
     takeover.advance(nowMs, confirmedMs);
   }
 
-  private static void addStopCommands(
-      WorkerState worker, List<DispatchCommand> commands, long nowMs) {
-    if (!worker.mayHaveStoppingRuns) {
-      return;
-    }
-    worker.mayHaveStoppingRuns = false;
-    for (Run run : worker.runs.values()) {
-      worker.mayHaveStoppingRuns |= run.isStopping();
-      boolean due = run.stopSentMs == 0 || nowMs - run.stopSentMs >= STOP_RETRY_INTERVAL_MS;
-      if (run.isStopping() && !run.stopInFlight && run.stopAnsweredMs < 0 && due) {
-        run.stopInFlight = true;
-        run.stopSentMs = nowMs;
-        commands.add(new DispatchCommand.Stop(worker.registration, run.task.key, run.number));
-      }
-    }
-  }
-
   /** Handles the answer to a poll that was sent at {@code sentMs}. */
   public void pollAnswered(
       WorkerRegistration registration, PollReply reply, long sentMs, long nowMs) {
--- a/src/test/java/org/plantainloom/transport/dispatch/OneWorkerFixture.java
+++ b/src/test/java/org/plantainloom/transport/dispatch/OneWorkerFixture.java
@@ -140,6 +140,7 @@
     }
   }
 
+  /** A worker that keeps the polls which it receives, and answers nothing by itself. */
   static final class Workers implements TaskWorkers {
     final BlockingQueue<Poll> polls = new LinkedBlockingQueue<>();
 
