Log why an earlier run of a task counts as over when the task starts again

run-ordered now says which run came before, what it was taken for, by which evidence, and how old that is. A new owner that knows of no earlier run says whether all workers had answered or the leases were over. No decision changes.

Measured: the three new tests of DispatcherTest.EarlierRuns pass; without the change there is nothing for them to read.

--- a/src/main/java/org/plantainloom/coordination/dispatch/Dispatcher.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/Dispatcher.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import org.plantainloom.coordination.dispatch.RunConclusion.Evidence;
 import org.plantainloom.state.job.ClusterConfig;
 import org.plantainloom.state.job.CommandReply;
 import org.plantainloom.state.job.JobProgress;
@@ -256,8 +257,7 @@
     expireLeases(nowMs);
     if (mayAct(nowMs, wallMs)) {
       stallDetector.stopStalledRuns(workers.all(), nowMs);
-      commands.addAll(
-          starter.start(jobs.openJobs(), workers.all(), takeover.isCaughtUp(), nowMs, wallMs));
+      commands.addAll(starter.start(jobs.openJobs(), workers.all(), takeover, nowMs, wallMs));
     }
     for (WorkerState worker : workers.all()) {
       RunStops.addDue(worker, commands, nowMs);
@@ -287,7 +287,7 @@
       boolean expired =
           worker.leaseExpiryMs < confirmedMs && takeover.isLeaseKnown(worker, confirmedMs);
       if (worker.unreachable && expired) {
-        runs.allRunsLost(worker, "lease expired", nowMs);
+        runs.allRunsLost(worker, Evidence.LEASE_EXPIRED, worker.leaseExpiryMs, nowMs);
         workers.releasePossibleTasks(worker);
         if (!worker.registered) {
           workers.forget(worker);
@@ -344,11 +344,11 @@
       }
       case UNHEALTHY, MALFORMED, OTHER_INCARNATION -> {
         run.worker.suspend(nowMs);
-        runs.drop(run, reply.name());
+        runs.drop(run, Evidence.START_REFUSED, reply.name(), nowMs);
       }
       case RUN_SUPERSEDED, TOO_LATE, NO_ROOM, NO_PERMIT -> {
         run.task.notBeforeMs = nowMs + REFUSED_START_DELAY_MS;
-        runs.drop(run, reply.name());
+        runs.drop(run, Evidence.START_REFUSED, reply.name(), nowMs);
       }
     }
   }
--- a/src/main/java/org/plantainloom/coordination/dispatch/RunLifecycle.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/RunLifecycle.java
@@ -2,6 +2,8 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
+import org.plantainloom.coordination.dispatch.RunConclusion.Evidence;
 import org.plantainloom.state.job.JobStatus;
 import org.plantainloom.state.job.QueueConfig;
 import org.plantainloom.state.job.RunOutcome;
@@ -59,16 +61,30 @@
     run.worker.remove(run);
   }
 
-  /** Removes a run that never started or no longer exists. */
-  void drop(Run run, String reason) {
+  /** Removes a run whose start command was never sent. */
+  void withdraw(Run run, String reason) {
     forget(run);
     log.logDecision("run-dropped", run, "reason=" + reason);
   }
 
-  /** Handles the end of a known run. */
-  void runEnded(Run run, RunOutcome outcome, String checkpoint, long nowMs) {
+  /** Removes a run that never started or no longer exists. */
+  void drop(Run run, Evidence evidence, String reason, long evidenceMs) {
+    withdraw(run, reason);
+    run.task.lastConclusion =
+        Optional.of(RunConclusion.of(run, RunOutcome.LOST, evidence, evidenceMs));
+  }
+
+  /** Handles the end of a known run, for which the evidence speaks at {@code evidenceMs}. */
+  void runEnded(
+      Run run,
+      RunOutcome outcome,
+      String checkpoint,
+      Evidence evidence,
+      long evidenceMs,
+      long nowMs) {
     forget(run);
     TaskState task = run.task;
+    task.lastConclusion = Optional.of(RunConclusion.of(run, outcome, evidence, evidenceMs));
     if (!checkpoint.isEmpty()) {
       task.checkpoint = checkpoint;
     }
@@ -76,15 +92,22 @@
     applyEnd(task, run.number, run.worker, outcome, nowMs);
   }
 
-  /** Handles the end of a run that this owner did not know, such as one of a previous owner. */
+  /**
+   * Handles the end of a run that this owner did not know, such as one of a previous owner.
+   *
+   * @param listedMs when the poll was sent that listed the end
+   */
   void unknownRunEnded(
       TaskState task,
       long number,
       WorkerState worker,
       RunOutcome outcome,
       String checkpoint,
+      long listedMs,
       long nowMs) {
     task.lastRunNumber = Math.max(task.lastRunNumber, number);
+    task.lastConclusion =
+        Optional.of(new RunConclusion(number, worker.id(), outcome, Evidence.END_LISTED, listedMs));
     if (!checkpoint.isEmpty() && task.runs.isEmpty()) {
       task.checkpoint = checkpoint;
     }
@@ -180,11 +203,11 @@
   }
 
   /** Handles the loss of all runs of a worker. */
-  void allRunsLost(WorkerState worker, String reason, long nowMs) {
+  void allRunsLost(WorkerState worker, Evidence evidence, long evidenceMs, long nowMs) {
     List<Run> lost = new ArrayList<>(worker.runs.values());
     if (!lost.isEmpty()) {
-      log.logDecision("worker-lost", worker.id(), "reason=" + reason + " runs=" + lost.size());
+      log.logDecision("worker-lost", worker.id(), "reason=" + evidence + " runs=" + lost.size());
     }
-    lost.forEach(run -> runEnded(run, RunOutcome.LOST, "", nowMs));
+    lost.forEach(run -> runEnded(run, RunOutcome.LOST, "", evidence, evidenceMs, nowMs));
   }
 }
--- a/src/main/java/org/plantainloom/coordination/dispatch/Takeover.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/Takeover.java
@@ -31,6 +31,8 @@
   /** Whether it is known what the workers run for previous owners. */
   private boolean caughtUp;
 
+  private boolean allAnswered;
+  private long caughtUpMs;
   private long loggedMs;
 
   Takeover(DispatchPolicy policy, WorkerTable workers, DecisionLog log, long nowMs) {
@@ -83,18 +85,27 @@
     if (caughtUp) {
       return;
     }
-    boolean allConfirmed = workers.areAllConfirmed();
-    caughtUp = allConfirmed || areLeasesOver(confirmedMs);
+    allAnswered = workers.areAllConfirmed();
+    caughtUp = allAnswered || areLeasesOver(confirmedMs);
     if (caughtUp) {
+      caughtUpMs = nowMs;
       workers.listComplete();
       log.logDecision(
-          "caught-up", "fleet", "workers=" + workers.all().size() + " all=" + allConfirmed);
+          "caught-up", "fleet", "workers=" + workers.all().size() + " all=" + allAnswered);
     } else if (nowMs - loggedMs >= LOG_INTERVAL_MS) {
       loggedMs = nowMs;
       logUnansweredWorkers(nowMs);
     }
   }
 
+  /** Returns the part of a log line that tells why no run of a previous owner is left unknown. */
+  String logText(long nowMs) {
+    return " by="
+        + (allAnswered ? "ALL_ANSWERED" : "LEASES_OVER")
+        + " evidenceAgeMs="
+        + (nowMs - caughtUpMs);
+  }
+
   /** Says for which workers the tasks of inherited jobs wait, and for how long at the most. */
   private void logUnansweredWorkers(long nowMs) {
     List<String> unanswered =
--- a/src/main/java/org/plantainloom/coordination/dispatch/TaskStarter.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/TaskStarter.java
@@ -48,14 +48,15 @@
   /**
    * Returns the start commands that are due now.
    *
-   * @param caughtUp whether tasks of inherited jobs may start
+   * @param takeover tells whether tasks of inherited jobs may start
    */
   List<DispatchCommand> start(
       Collection<JobState> open,
       Collection<WorkerState> workers,
-      boolean caughtUp,
+      Takeover takeover,
       long nowMs,
       long wallMs) {
+    boolean caughtUp = takeover.isCaughtUp();
     List<DispatchCommand> commands = new ArrayList<>();
     List<RankedPhase> ready = new ArrayList<>();
     double lastingCpuMillis = 0;
@@ -92,7 +93,7 @@
       if (unansweredStarts >= MAX_UNANSWERED_STARTS) {
         break;
       }
-      startPhase(next.phase(), workers, failures, commands, nowMs);
+      startPhase(next.phase(), workers, failures, commands, takeover, nowMs);
     }
     lastingTaskWaits.logIfDue(open, workers, caughtUp, this::serviceOf, nowMs, wallMs);
     return commands;
@@ -114,6 +115,7 @@
       Collection<WorkerState> workers,
       PlacementFailures failures,
       List<DispatchCommand> commands,
+      Takeover takeover,
       long nowMs) {
     JobState job = phase.job;
     String service = serviceOf(phase);
@@ -142,19 +144,33 @@
       started.add(runs.begin(task, worker, runNumber, nowMs));
     }
     if (phase.spec.gang() && started.size() < waiting.size()) {
-      started.forEach(run -> runs.drop(run, "gang does not fit"));
+      started.forEach(run -> runs.withdraw(run, "gang does not fit"));
       job.status = previousStatus;
       return;
     }
     unansweredStarts += started.size();
-    started.forEach(run -> commands.add(startCommand(run, nowMs)));
+    started.forEach(run -> commands.add(startCommand(run, takeover, nowMs)));
   }
 
-  private DispatchCommand startCommand(Run run, long nowMs) {
+  /** Says why nothing of an earlier run of a task is left; empty if there was none. */
+  private static String earlierRun(TaskState task, Takeover takeover, long nowMs) {
+    if (task.lastConclusion.isPresent()) {
+      return task.lastConclusion.get().logText(nowMs);
+    }
+    return task.phase.job.inherited ? " earlier=unknown" + takeover.logText(nowMs) : "";
+  }
+
+  private DispatchCommand startCommand(Run run, Takeover takeover, long nowMs) {
     WorkerState worker = run.worker;
     worker.leaseExtended(nowMs, policy);
     log.logDecision(
-        "run-ordered", run, "idleCpu=" + worker.idleCpuMillis() + " runs=" + worker.runs.size());
+        "run-ordered",
+        run,
+        "idleCpu="
+            + worker.idleCpuMillis()
+            + " runs="
+            + worker.runs.size()
+            + earlierRun(run.task, takeover, nowMs));
     StartTaskCommand command =
         new StartTaskCommand(
             run.task.key, run.number, run.task.phase.job.spec.payload(), run.task.checkpoint, "");
--- a/src/main/java/org/plantainloom/coordination/dispatch/TaskState.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/TaskState.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import org.plantainloom.state.job.TaskKey;
 
 /** The scheduler's view of a task. */
@@ -17,6 +18,9 @@
   String checkpoint = "";
   long lastRunNumber;
 
+  /** What this owner took the last run for; empty if it knows of none that is over. */
+  Optional<RunConclusion> lastConclusion = Optional.empty();
+
   /** Earliest time of the next start. */
   long notBeforeMs;
 
--- a/src/main/java/org/plantainloom/coordination/dispatch/WorkerReconciler.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/WorkerReconciler.java
@@ -4,6 +4,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import org.plantainloom.coordination.dispatch.RunConclusion.Evidence;
 import org.plantainloom.state.job.ActiveRun;
 import org.plantainloom.state.job.EndedRun;
 import org.plantainloom.state.job.TaskKey;
@@ -40,7 +41,7 @@
    */
   List<DispatchCommand> reconcile(
       WorkerState worker, WorkerSnapshot snapshot, long sentMs, long nowMs) {
-    detectRestart(worker, snapshot, nowMs);
+    detectRestart(worker, snapshot, sentMs, nowMs);
     if (!worker.isClockKnown() || snapshot.clockMs() >= worker.clockAt(nowMs) - policy.leaseMs()) {
       worker.clockMs = snapshot.clockMs();
       worker.clockReadMs = nowMs;
@@ -55,7 +56,7 @@
       // A previous owner may have renewed the lease until the worker knew of this one.
       worker.leaseExtended(nowMs, policy);
     }
-    applyEnds(worker, snapshot.ended(), nowMs);
+    applyEnds(worker, snapshot.ended(), sentMs, nowMs);
     List<DispatchCommand> commands = new ArrayList<>();
     Set<TaskKey> running = new HashSet<>();
     for (ActiveRun reported : snapshot.running()) {
@@ -66,16 +67,16 @@
     return commands;
   }
 
-  private void detectRestart(WorkerState worker, WorkerSnapshot snapshot, long nowMs) {
+  private void detectRestart(WorkerState worker, WorkerSnapshot snapshot, long sentMs, long nowMs) {
     if (snapshot.startedAtMs() != 0 && snapshot.startedAtMs() != worker.incarnation) {
       if (worker.incarnation != 0) {
-        runs.allRunsLost(worker, "restarted", nowMs);
+        runs.allRunsLost(worker, Evidence.WORKER_RESTARTED, sentMs, nowMs);
       }
       worker.restarted(snapshot.startedAtMs());
     }
   }
 
-  private void applyEnds(WorkerState worker, List<EndedRun> ends, long nowMs) {
+  private void applyEnds(WorkerState worker, List<EndedRun> ends, long sentMs, long nowMs) {
     for (EndedRun end : ends) {
       if (end.sequenceNumber() <= worker.lastEndSeen) {
         continue;
@@ -90,9 +91,9 @@
       }
       Run run = worker.runs.get(end.task());
       if (run != null && run.number == end.run()) {
-        runs.runEnded(run, end.kind(), end.checkpoint(), nowMs);
+        runs.runEnded(run, end.kind(), end.checkpoint(), Evidence.END_LISTED, sentMs, nowMs);
       } else {
-        runs.unknownRunEnded(task, end.run(), worker, end.kind(), end.checkpoint(), nowMs);
+        runs.unknownRunEnded(task, end.run(), worker, end.kind(), end.checkpoint(), sentMs, nowMs);
       }
       JobState waitsFor = end.kind().mustPersist() && job.isDirty() ? job : null;
       worker.unacknowledgedEnds.add(
@@ -159,7 +160,8 @@
               && run.stopAnsweredMs >= 0
               && run.stopAnsweredMs + policy.stopGraceMs() < sentMs;
       if (vanished || stopped) {
-        runs.drop(run, vanished ? "not listed" : "stopped");
+        Evidence evidence = vanished ? Evidence.NOT_LISTED : Evidence.STOP_CONFIRMED;
+        runs.drop(run, evidence, evidence.toString(), sentMs);
       }
     }
   }
--- a/src/test/java/org/plantainloom/coordination/dispatch/DispatcherTest.java
+++ b/src/test/java/org/plantainloom/coordination/dispatch/DispatcherTest.java
@@ -7,6 +7,7 @@
 
 import java.util.List;
 import org.plantainloom.state.job.CommandReply;
+import org.plantainloom.state.job.JobProgress;
 import org.plantainloom.state.job.JobStatus;
 import org.plantainloom.state.job.TaskKey;
 import org.testng.annotations.Test;
@@ -16,6 +17,62 @@
   private static final String ID = "00000000000000aa";
   private static final TaskKey FIRST = new TaskKey(ID, 0, 0, 0);
 
+  /** What the log tells of a task that starts again. */
+  public static class EarlierRuns {
+    @Test
+    public void should_log_the_evidence_and_its_age_when_a_task_of_a_lost_worker_starts_again() {
+      // given
+      DispatcherSimulation simulation = new DispatcherSimulation(2, 8).run(100);
+      simulation.taskDurationMs = 20_000;
+      simulation.submit(job(ID, "urgent", tasks(1, 1_000))).run(500);
+      SimulatedWorker lost =
+          simulation.workers.stream().filter(w -> w.running.containsKey(FIRST)).findAny().get();
+      // when
+      lost.unreachable = true;
+      simulation.run(10_000);
+      // then
+      assertThat(simulation.log)
+          .anySatisfy(
+              line ->
+                  assertThat(line)
+                      .contains("run-ordered " + FIRST + "#2")
+                      .containsPattern(
+                          "earlier=1@"
+                              + lost.registration.id()
+                              + " taken-for=LOST by=LEASE_EXPIRED evidenceAgeMs=\\d+"));
+    }
+
+    @Test
+    public void should_log_how_a_new_owner_knows_that_nothing_of_a_task_is_left() {
+      // given
+      DispatcherSimulation simulation = new DispatcherSimulation(2, 8).run(100);
+      // when
+      simulation.startOwner(2);
+      simulation.dispatcher.restoreJob(
+          job(ID, "urgent", tasks(1, 1_000)), JobProgress.NONE, 0, simulation.nowMs);
+      simulation.run(500);
+      // then
+      assertThat(simulation.log)
+          .anySatisfy(
+              line ->
+                  assertThat(line)
+                      .contains("run-ordered " + FIRST + "#100001")
+                      .containsPattern("earlier=unknown by=ALL_ANSWERED evidenceAgeMs=\\d+"));
+    }
+
+    @Test
+    public void should_log_nothing_of_the_kind_for_the_first_run() {
+      // when
+      DispatcherSimulation simulation = new DispatcherSimulation(2, 8).run(100);
+      simulation.submit(job(ID, "urgent", tasks(1, 1_000))).run(500);
+      // then
+      assertThat(simulation.log)
+          .filteredOn(line -> line.contains("run-ordered"))
+          .hasSize(1)
+          .noneMatch(line -> line.contains("earlier="));
+    }
+  }
+
   /** The course of a job. */
   public static class Jobs {
     @Test
