Store a silent worker again that may run more than a late write says

A list of workers whose write was still unanswered counted as current for a worker that had answered in between, run further tasks, and was silent again: only the presence of its list of tasks was compared. The next owner would have started the tasks that are missing in the list elsewhere, while the worker runs them (TWICE).

The stored entry now has to name at least the tasks that the worker may run. TakeoverTest.should_store_a_silent_worker_again_that_may_run_more_than_a_late_write_says failed before and passes now.

--- a/src/main/java/org/plantainloom/coordination/dispatch/WorkerTable.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/WorkerTable.java
@@ -191,7 +191,7 @@
     for (FleetMember member : members) {
       WorkerState worker = workers.get(member.entry().id());
       // A worker that became unreachable or reachable since then has to be written again.
-      if (worker != null && worker.toFleetMember().isEquivalentTo(member)) {
+      if (worker != null && worker.toFleetMember().isCoveredBy(member)) {
         worker.persisted = true;
       }
     }
--- a/src/test/java/org/plantainloom/coordination/dispatch/TakeoverTest.java
+++ b/src/test/java/org/plantainloom/coordination/dispatch/TakeoverTest.java
@@ -6,6 +6,7 @@
 import static org.plantainloom.coordination.dispatch.DispatcherSimulation.tasks;
 
 import java.util.List;
+import java.util.Optional;
 import org.plantainloom.state.job.JobProgress;
 import org.plantainloom.state.job.JobSpec;
 import org.plantainloom.state.job.JobStatus;
@@ -43,6 +44,28 @@
     assertThat(simulation.status(ID)).isEqualTo(JobStatus.COMPLETED);
   }
 
+  @Test
+  public void should_store_a_silent_worker_again_that_may_run_more_than_a_late_write_says() {
+    // given: the list names a silent worker without tasks, and its write is not answered yet
+    DispatcherSimulation simulation = new DispatcherSimulation(1, 8).run(100);
+    simulation.workers.get(0).unreachable = true;
+    simulation.run(3_000);
+    List<FleetMember> writing =
+        List.of(new FleetMember(simulation.workers.get(0).registration, Optional.of(List.of())));
+    // when: the worker answers, runs a task, and is silent again before the write is confirmed
+    simulation.workers.get(0).unreachable = false;
+    simulation.taskDurationMs = 20_000;
+    simulation.submit(job(ID, "urgent", tasks(1, 1_000))).run(3_000);
+    simulation.workers.get(0).unreachable = true;
+    simulation.run(3_000);
+    WorkerState worker = simulation.dispatcher.workers().iterator().next();
+    worker.persisted = false;
+    simulation.dispatcher.fleetPersisted(writing, false);
+    // then: the next owner must not start the task elsewhere
+    assertThat(simulation.dispatcher.unpersistedFleet().orElseThrow().get(0).possibleTasks())
+        .hasValue(List.of(FIRST));
+  }
+
   @Test
   public void should_show_an_adopted_job_as_active() {
     // given: regression (soak test, seed 103): a job was reported as queued although the new owner
