Do not let a late write replace a newer list of workers

The list of workers for the next owner was written on the condition of the owner's key alone.

The write now also requires the revision that it replaces, like progress does, and takes the current revision from a conflict.

--- a/src/main/java/org/plantainloom/transport/dispatch/OwnerSession.java
+++ b/src/main/java/org/plantainloom/transport/dispatch/OwnerSession.java
@@ -185,6 +185,7 @@
   private void inheritFleet(StoreItem item) {
     long now = NodeContext.nowMs();
     StoredFleet fleet = StoredFleet.parse(item.value());
+    progressWriter.fleetRead(item.revision());
     fleet.members().forEach(member -> dispatcher.workerInherited(member, now));
     fleetSize = fleet.members().size();
     if (fleet.damage().isPresent()) {
--- a/src/main/java/org/plantainloom/transport/dispatch/ProgressWriter.java
+++ b/src/main/java/org/plantainloom/transport/dispatch/ProgressWriter.java
@@ -22,7 +22,7 @@
  * transaction are combined in the next one.
  *
  * <p>Each transaction requires that this node's owner key is unchanged, so that a former owner
- * cannot write, and requires the revision of each job's progress, so that a delayed write cannot
+ * cannot write, and requires the revision of what it replaces, so that a delayed write cannot
  * replace a newer one.
  */
 final class ProgressWriter implements AutoCloseable {
@@ -44,6 +44,10 @@
   private final Ownership ownership;
   private final Runnable scheduleRound;
   private final Counter commitCounter;
+
+  /** Revision of the stored list of workers; 0 if there is none. */
+  private long fleetRevision;
+
   private boolean ownersSettled;
   private boolean busy;
   private boolean closed;
@@ -65,6 +69,11 @@
     this.commitCounter = node.metrics().counter("store.commits");
   }
 
+  /** Sets the revision at which the list of workers was read; its writes require that. */
+  void fleetRead(long revision) {
+    fleetRevision = revision;
+  }
+
   /**
    * Writes the changes that are not stored yet, unless a write is in progress or waits to be
    * retried.
@@ -112,14 +121,16 @@
     boolean incomplete = dispatcher.isFleetIncomplete();
     commit(
         ownerTransaction()
+            .expect(StoreKeys.FLEET, fleetRevision)
             .write(StoreKeys.FLEET, Json.write(new FleetRecord(workers, silentTasks, incomplete))),
         revision -> {
+          fleetRevision = revision;
           dispatcher.fleetPersisted(fleet, incomplete);
           LOG.infof(
               "event=fleet-persisted workers=%d silent=%d revision=%d",
               fleet.size(), silentTasks.size(), revision);
         },
-        current -> {});
+        current -> fleetRevision = revisionOf(StoreKeys.FLEET, current));
   }
 
   private void persistProgress(ProgressBatch batch) {
@@ -136,17 +147,20 @@
 
   private void correctRevisions(ProgressBatch batch, List<StoreItem> current) {
     for (ProgressBatch.Entry entry : batch.entries()) {
-      String key = StoreKeys.progress(entry.jobId());
-      long revision =
-          current.stream()
-              .filter(item -> item.key().equals(key))
-              .mapToLong(StoreItem::revision)
-              .findFirst()
-              .orElse(0);
+      long revision = revisionOf(StoreKeys.progress(entry.jobId()), current);
       dispatcher.correctRevision(entry.jobId(), revision);
     }
   }
 
+  /** Returns the revision of a key among the current items; 0 if it does not exist. */
+  private static long revisionOf(String key, List<StoreItem> current) {
+    return current.stream()
+        .filter(item -> item.key().equals(key))
+        .mapToLong(StoreItem::revision)
+        .findFirst()
+        .orElse(0);
+  }
+
   /** The next owner need not ask the owners before this one. */
   private void persistSettledOwners() {
     commit(
