Do not run a finished job again whose removal failed

A job was forgotten before its removal from the store was answered, and the removal was not repeated.

--- a/src/main/java/org/plantainloom/coordination/dispatch/Dispatcher.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/Dispatcher.java
@@ -102,7 +102,7 @@
 
   /** Handles a newly accepted job. */
   public void jobSubmitted(JobSpec spec, long nowMs) {
-    if (jobs.job(spec.id()) == null) {
+    if (jobs.job(spec.id()) == null && !jobs.isRetired(spec.id())) {
       jobs.add(spec, nowMs);
       reserve.jobAccepted(spec);
       log.logDecision(
@@ -408,11 +408,19 @@
     jobs.correctRevision(jobId, revision);
   }
 
-  /** Removes up to {@code limit} jobs that finished before a time and returns their ids. */
+  /**
+   * Forgets jobs that finished before a time, and returns up to {@code limit} ids of jobs to remove
+   * from the store. They are returned again until {@link #jobsRemoved} confirms the removal.
+   */
   public List<String> retireJobs(long finishedBeforeMs, int limit) {
     return jobs.retire(finishedBeforeMs, limit);
   }
 
+  /** Handles that the store has removed jobs. */
+  public void jobsRemoved(List<String> jobIds, long nowMs) {
+    jobs.removed(jobIds, nowMs);
+  }
+
   /** Returns the number of jobs of a queue of which no task has started yet. */
   public int queuedJobCount(String queue) {
     int count = 0;
--- a/src/main/java/org/plantainloom/coordination/dispatch/JobTable.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/JobTable.java
@@ -16,6 +16,7 @@
   private final Map<String, JobState> jobs = new HashMap<>();
   private final Map<String, JobState> open = new LinkedHashMap<>();
   private final Set<JobState> dirty = new LinkedHashSet<>();
+  private final RetiredJobs retired = new RetiredJobs();
 
   JobState add(JobSpec spec, long nowMs) {
     JobState job = new JobState(spec, nowMs);
@@ -89,18 +90,35 @@
     }
   }
 
-  /** Removes up to {@code limit} jobs that finished before a time and returns their ids. */
+  /**
+   * Forgets jobs that finished before a time, and returns up to {@code limit} ids of jobs to remove
+   * from the store, including those of earlier calls until {@link #removed} confirms them.
+   */
   List<String> retire(long finishedBeforeMs, int limit) {
-    List<String> retired = new ArrayList<>();
+    List<String> ids = retired.unconfirmed(limit);
     for (JobState job : jobs.values()) {
-      if (retired.size() < limit
+      if (ids.size() < limit
           && job.isFinished()
           && !job.isDirty()
           && job.finishedMs < finishedBeforeMs) {
-        retired.add(job.spec.id());
+        ids.add(job.spec.id());
       }
     }
-    retired.forEach(jobs::remove);
-    return retired;
+    for (String id : ids) {
+      if (jobs.remove(id) != null) {
+        retired.add(id);
+      }
+    }
+    return ids;
+  }
+
+  /** Handles that the store has removed jobs. */
+  void removed(List<String> jobIds, long nowMs) {
+    retired.removed(jobIds, nowMs);
+  }
+
+  /** Returns whether a job was finished and removed, or is to be removed from the store. */
+  boolean isRetired(String jobId) {
+    return retired.contains(jobId);
   }
 }
--- a/src/main/java/org/plantainloom/transport/dispatch/ProgressWriter.java
+++ b/src/main/java/org/plantainloom/transport/dispatch/ProgressWriter.java
@@ -188,7 +188,10 @@
     }
     commit(
         transaction,
-        revision -> LOG.infof("event=jobs-retired count=%d", jobs.size()),
+        revision -> {
+          dispatcher.jobsRemoved(jobs, NodeContext.nowMs());
+          LOG.infof("event=jobs-retired count=%d", jobs.size());
+        },
         current -> {});
   }
 
--- a/src/test/java/org/plantainloom/coordination/dispatch/DispatcherTest.java
+++ b/src/test/java/org/plantainloom/coordination/dispatch/DispatcherTest.java
@@ -17,6 +17,52 @@
   private static final String ID = "00000000000000aa";
   private static final TaskKey FIRST = new TaskKey(ID, 0, 0, 0);
 
+  /** Jobs that are removed from the store after their end. */
+  public static class Retirement {
+    private static final long LATER_MS = 1_000;
+
+    private DispatcherSimulation completed() {
+      DispatcherSimulation simulation = new DispatcherSimulation(2, 8).run(100);
+      return simulation.submit(job(ID, "urgent", tasks(2, 1_000))).run(LATER_MS);
+    }
+
+    @Test
+    public void should_not_run_a_job_again_whose_removal_failed_when_its_key_is_listed_again() {
+      // given: the store does not confirm the removal
+      DispatcherSimulation simulation = completed();
+      assertThat(simulation.dispatcher.retireJobs(simulation.nowMs, 10)).containsExactly(ID);
+      // when: after the history of the watch was lost, all keys are listed
+      simulation.submit(job(ID, "urgent", tasks(2, 1_000))).run(LATER_MS);
+      // then
+      assertThat(simulation.startCount(FIRST)).isEqualTo(1);
+    }
+
+    @Test
+    public void should_remove_a_job_again_until_the_store_has_confirmed_it() {
+      // given
+      DispatcherSimulation simulation = completed();
+      List<String> first = simulation.dispatcher.retireJobs(simulation.nowMs, 10);
+      // when
+      List<String> second = simulation.dispatcher.retireJobs(simulation.nowMs, 10);
+      simulation.dispatcher.jobsRemoved(second, simulation.nowMs);
+      // then
+      assertThat(second).isEqualTo(first).containsExactly(ID);
+      assertThat(simulation.dispatcher.retireJobs(simulation.nowMs, 10)).isEmpty();
+    }
+
+    @Test
+    public void should_not_run_a_job_again_that_was_listed_before_its_removal() {
+      // given
+      DispatcherSimulation simulation = completed();
+      List<String> removed = simulation.dispatcher.retireJobs(simulation.nowMs, 10);
+      simulation.dispatcher.jobsRemoved(removed, simulation.nowMs);
+      // when: a list arrives that was read before
+      simulation.submit(job(ID, "urgent", tasks(2, 1_000))).run(LATER_MS);
+      // then
+      assertThat(simulation.startCount(FIRST)).isEqualTo(1);
+    }
+  }
+
   /** What the log tells of a task that starts again. */
   public static class EarlierRuns {
     @Test
