Do not take a renewed lease for a confirmed ownership

An owner counted as confirmed with each renewal of the lease of its key. One whose watch is silent and whose renewals are answered went on acting, for longer than its successor waits for it: tasks on workers that only the former owner reaches could run twice.

OwnershipConfirmationTest.should_end_the_ownership_if_the_key_was_removed_while_renewals_are_answered failed before (no end of the ownership within 30 s) and passes now, with the other tests of the class.

--- a/src/main/java/org/plantainloom/transport/dispatch/OwnerElection.java
+++ b/src/main/java/org/plantainloom/transport/dispatch/OwnerElection.java
@@ -32,10 +32,13 @@
   private static final Logger LOG = Logger.getLogger(OwnerElection.class);
 
   /** Interval at which an owner that the store has not confirmed for too long reads its key. */
-  private static final long READ_INTERVAL_MS = 200;
+  private static final long UNCONFIRMED_READ_INTERVAL_MS = 200;
 
   /** Reads may wait for their timeout, while later ones already get replies. */
-  private static final int MAX_UNANSWERED_READS = 4;
+  private static final int MAX_UNANSWERED_READS = 2;
+
+  /** The same for an owner that does not act until a read is answered. */
+  private static final int MAX_UNANSWERED_UNCONFIRMED_READS = 6;
 
   private static final long RETRY_MS = 300;
 
@@ -62,8 +65,10 @@
   /** A claim that is on its way has to be of this term at least: a newer owner has asked. */
   private long smallestTerm;
 
-  /** When the ownership was last to be confirmed, by a renewal or a read. */
-  private long lastAttemptMs;
+  private long lastRenewalMs;
+
+  /** When the owner's key was last read, or claimed. */
+  private long lastReadMs;
 
   private long oneWayDelayMs;
 
@@ -153,29 +158,35 @@
     }
   }
 
-  /** Has the store confirm the ownership if that is due. */
+  /** Renews the lease of the owner's key and has the store confirm the ownership if that is due. */
   void tick(long nowMs, long wallMs) {
     if (ownership == null) {
       return;
     }
-    if (!ownership.validity().isValid(nowMs, wallMs)) {
-      readOwnerKeyIfDue(nowMs, wallMs);
-    } else if (!renewing && nowMs - lastAttemptMs >= OwnershipLease.RENEW_INTERVAL_MS) {
-      renew(nowMs, wallMs);
+    boolean valid = ownership.validity().isValid(nowMs, wallMs);
+    // Renewals that get no replies would keep the key of an owner that does not act, and another
+    // node could not become the owner.
+    if (valid && !renewing && nowMs - lastRenewalMs >= OwnershipLease.RENEW_INTERVAL_MS) {
+      renew(nowMs);
+    }
+    long intervalMs = valid ? OwnershipLease.RENEW_INTERVAL_MS : UNCONFIRMED_READ_INTERVAL_MS;
+    boolean confirmedLately = ownership.validity().ageMs(nowMs, wallMs) < intervalMs;
+    int maxReads = valid ? MAX_UNANSWERED_READS : MAX_UNANSWERED_UNCONFIRMED_READS;
+    if (!confirmedLately && nowMs - lastReadMs >= intervalMs && unansweredReads < maxReads) {
+      readOwnerKey(nowMs, wallMs);
     }
   }
 
-  private void renew(long nowMs, long wallMs) {
+  /** Renews the lease. That confirms no ownership: the store may have removed the key early. */
+  private void renew(long nowMs) {
     renewing = true;
-    lastAttemptMs = nowMs;
+    lastRenewalMs = nowMs;
     Ownership renewed = ownership;
     eventLoop.onResult(
         node.store().renewLease(renewed.leaseId()),
         reply -> {
           renewing = false;
-          if (reply instanceof LeaseReply.Held) {
-            renewed.validity().confirm(nowMs, wallMs);
-          } else if (reply instanceof LeaseReply.Ended && renewed.equals(ownership)) {
+          if (reply instanceof LeaseReply.Ended && renewed.equals(ownership)) {
             loseOwnership("lease ended");
             owner = Optional.empty();
             scheduleCampaign();
@@ -183,16 +194,8 @@
         });
   }
 
-  /**
-   * Reads the key of an ownership that the store has not confirmed for too long. A renewal would
-   * keep the key of an owner that gets no replies and thus does not act, and another node could not
-   * become the owner; it would also not tell that the key was removed early.
-   */
-  private void readOwnerKeyIfDue(long nowMs, long wallMs) {
-    if (unansweredReads >= MAX_UNANSWERED_READS || nowMs - lastAttemptMs < READ_INTERVAL_MS) {
-      return;
-    }
-    lastAttemptMs = nowMs;
+  private void readOwnerKey(long nowMs, long wallMs) {
+    lastReadMs = nowMs;
     unansweredReads++;
     Ownership checked = ownership;
     eventLoop.onResult(
@@ -205,11 +208,8 @@
           Optional<StoreItem> item = found.items().stream().findFirst();
           if (item.isPresent() && item.get().revision() == checked.revision()) {
             checked.validity().confirm(nowMs, wallMs);
-            if (!renewing) {
-              renew(NodeContext.nowMs(), NodeContext.wallMs());
-            }
           } else {
-            loseOwnership("key changed while the store did not confirm it");
+            loseOwnership("key changed");
             observe(item.map(StoreItem::value), item.map(StoreItem::revision).orElse(0L));
           }
         });
@@ -342,7 +342,8 @@
             validity.confirm(sentMs, sentWallMs);
             ownership =
                 new Ownership(record, leaseId, committed.revision(), previousOwners, validity);
-            lastAttemptMs = sentMs;
+            lastRenewalMs = sentMs;
+            lastReadMs = sentMs;
             LOG.infof("event=ownership-gained term=%d revision=%d", term, committed.revision());
             listener.onGained(ownership);
             return;
--- a/src/main/java/org/plantainloom/transport/dispatch/ProgressWriter.java
+++ b/src/main/java/org/plantainloom/transport/dispatch/ProgressWriter.java
@@ -211,6 +211,8 @@
       Transaction transaction, CommitListener commitListener, ConflictListener conflictListener) {
     busy = true;
     commitCounter.inc();
+    long sentMs = NodeContext.nowMs();
+    long sentWallMs = NodeContext.wallMs();
     eventLoop.onResult(
         node.store().commit(transaction),
         reply -> {
@@ -219,6 +221,8 @@
             return;
           }
           if (reply instanceof CommitReply.Committed committed) {
+            // The commit required the owner's key.
+            ownership.validity().confirm(sentMs, sentWallMs);
             commitListener.onCommitted(committed.revision());
             scheduleRound.run();
           } else if (reply instanceof CommitReply.Conflict conflict) {
--- a/src/test/java/org/plantainloom/transport/dispatch/OwnershipConfirmationTest.java
+++ b/src/test/java/org/plantainloom/transport/dispatch/OwnershipConfirmationTest.java
@@ -109,6 +109,17 @@
     assertThat(awaitOwnerAddress(Optional.of("127.0.0.1:2"))).isTrue();
   }
 
+  /** Regression: an owner whose key was removed early went on, as its lease could be renewed. */
+  @Test
+  public void should_end_the_ownership_if_the_key_was_removed_while_renewals_are_answered()
+      throws Exception {
+    // when: the watch of the key tells nothing
+    fixture.store.acceptsClaims = false;
+    fixture.store.ownerKey = Optional.empty();
+    // then
+    assertThat(awaitOwnerAddress(Optional.empty())).isTrue();
+  }
+
   /** The store may remove the key of an owner that it cannot reach before the lease ends. */
   @Test
   public void should_end_the_ownership_if_the_key_was_removed_although_the_lease_holds()
