Do not wait for the event loops of test servers

Stopping a server takes Netty's quiet period of 2 s, and most tests with a server waited for it at their end; the whole suite took 659 s, of which 143 s were processor time.

--- a/src/test/java/org/plantainloom/platform/MalformedMessageTest.java
+++ b/src/test/java/org/plantainloom/platform/MalformedMessageTest.java
@@ -20,6 +20,7 @@
 import org.plantainloom.state.job.WorkerRegistration;
 import org.plantainloom.state.store.Transaction;
 import org.plantainloom.support.MessageMutator;
+import org.plantainloom.support.Servers;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -205,7 +206,7 @@
 
     @Override
     public void close() {
-      server.stop().join();
+      Servers.stopInBackground(server);
     }
   }
 }
--- a/src/test/java/org/plantainloom/platform/NodeFixture.java
+++ b/src/test/java/org/plantainloom/platform/NodeFixture.java
@@ -18,6 +18,7 @@
 import java.util.function.BooleanSupplier;
 import org.plantainloom.coordination.dispatch.DispatchPolicy;
 import org.plantainloom.platform.standin.SimulatedPlatform;
+import org.plantainloom.support.Servers;
 import org.plantainloom.transport.dispatch.Node;
 import org.plantainloom.transport.dispatch.NodeContext;
 
@@ -141,7 +142,7 @@
     public void close() {
       if (!closed) {
         closed = true;
-        server.stop().join();
+        Servers.stopInBackground(server);
         node.close();
         client.close();
       }
--- a/src/test/java/org/plantainloom/platform/NodeTest.java
+++ b/src/test/java/org/plantainloom/platform/NodeTest.java
@@ -23,6 +23,7 @@
 import org.plantainloom.platform.standin.SimulatedPlatform;
 import org.plantainloom.state.job.TaskWorkers;
 import org.plantainloom.state.job.WorkerRegistration;
+import org.plantainloom.support.Servers;
 import org.plantainloom.transport.dispatch.Node;
 import org.plantainloom.transport.dispatch.NodeContext;
 import org.testng.annotations.AfterMethod;
@@ -83,7 +84,7 @@
     server.start().join();
     resources.add(0, client);
     resources.add(0, node);
-    resources.add(0, () -> server.stop().join());
+    resources.add(0, () -> Servers.stopInBackground(server));
     return WebClient.of("h1c://127.0.0.1:" + server.activeLocalPort());
   }
 
--- a/src/test/java/org/plantainloom/platform/PlatformOwnerPeersTest.java
+++ b/src/test/java/org/plantainloom/platform/PlatformOwnerPeersTest.java
@@ -17,6 +17,7 @@
 import java.util.function.BooleanSupplier;
 import org.plantainloom.coordination.dispatch.DispatchPolicy;
 import org.plantainloom.platform.standin.SimulatedPlatform;
+import org.plantainloom.support.Servers;
 import org.plantainloom.transport.dispatch.Node;
 import org.plantainloom.transport.dispatch.NodeContext;
 import org.plantainloom.transport.dispatch.OwnerPeers;
@@ -65,7 +66,7 @@
   /** Stops the node before its client, and the platform last. */
   @AfterMethod(alwaysRun = true)
   public void close() {
-    server.stop().join();
+    Servers.stopInBackground(server);
     node.close();
     client.close();
     platform.close();
--- a/src/test/java/org/plantainloom/platform/PlatformStoreTest.java
+++ b/src/test/java/org/plantainloom/platform/PlatformStoreTest.java
@@ -14,6 +14,7 @@
 import org.plantainloom.platform.standin.SimulatedPlatform;
 import org.plantainloom.state.store.ReadReply;
 import org.plantainloom.state.store.WatchReply;
+import org.plantainloom.support.Servers;
 import org.testng.annotations.Test;
 
 /** Tests that the store can be followed beside large and unreadable values of other systems. */
@@ -71,7 +72,7 @@
       // then
       assertThat(list.items()).singleElement().matches(read -> read.value().isEmpty());
     } finally {
-      server.stop().join();
+      Servers.stopInBackground(server);
     }
   }
 }
--- a/src/test/java/org/plantainloom/platform/PollReplyTest.java
+++ b/src/test/java/org/plantainloom/platform/PollReplyTest.java
@@ -18,6 +18,7 @@
 import org.plantainloom.state.job.EndedRun;
 import org.plantainloom.state.job.PollReply;
 import org.plantainloom.state.job.WorkerRegistration;
+import org.plantainloom.support.Servers;
 import org.testng.annotations.AfterClass;
 import org.testng.annotations.BeforeClass;
 import org.testng.annotations.DataProvider;
@@ -55,7 +56,7 @@
   @AfterClass
   public void stop() {
     client.close();
-    server.stop().join();
+    Servers.stopInBackground(server);
   }
 
   private PollReply poll(String reply) {
--- a/src/test/java/org/plantainloom/support/GatewayFixture.java
+++ b/src/test/java/org/plantainloom/support/GatewayFixture.java
@@ -81,7 +81,7 @@
 
   @Override
   public void close() {
-    server.stop().join();
+    Servers.stopInBackground(server);
     upstream.close();
   }
 }
--- a/src/test/java/org/plantainloom/support/ScriptedReplies.java
+++ b/src/test/java/org/plantainloom/support/ScriptedReplies.java
@@ -51,6 +51,6 @@
 
   @Override
   public void close() {
-    server.stop().join();
+    Servers.stopInBackground(server);
   }
 }
--- a/src/test/java/org/plantainloom/support/WorkerEndpoint.java
+++ b/src/test/java/org/plantainloom/support/WorkerEndpoint.java
@@ -70,6 +70,6 @@
 
   @Override
   public void close() {
-    server.stop().join();
+    Servers.stopInBackground(server);
   }
 }
