Keep what a worker says apart from what its former life said

A worker that is back under its id counts its ends from 1, by a new clock. The owner acknowledged ends by the numbers of the former life, which made the worker forget ends unseen, and took every run of the worker for lost, also those that the new life had started. A registration of one life and an answer of another made one worker.

Clock, numbers of ends and acknowledgements now live in WorkerLife, which is replaced as a whole when an answer names another start. Only runs that a list of the former life has shown are over with it; the lists of the new life decide on all others. After a call without answer, or a registration of another start, the next poll acknowledges and renews nothing until the worker has answered. A worker gets tasks only while registration and answer are of one life. A worker that answers normally is acknowledged with each poll as before.

--- a/src/main/java/org/plantainloom/coordination/dispatch/DispatchPolicy.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/DispatchPolicy.java
@@ -58,6 +58,11 @@
     return longestLeaseMs(leaseMs);
   }
 
+  /** Returns how long any lease that the platform allows may last, in milliseconds. */
+  long longestPlatformLeaseMs() {
+    return takeoverTimeoutMs - previousOwnerActsMs;
+  }
+
   private static long longestLeaseMs(long leaseMs) {
     return ClockDrift.longestMs(leaseMs) + LEASE_MARGIN_MS;
   }
--- a/src/main/java/org/plantainloom/coordination/dispatch/Dispatcher.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/Dispatcher.java
@@ -314,6 +314,7 @@
       markFenced(worker.id());
     } else if (reply instanceof PollReply.Unavailable unavailable) {
       worker.nextPollMs = nowMs + POLL_RETRY_DELAY_MS;
+      worker.callFailed();
       if (!worker.unreachable) {
         worker.unreachable = true;
         worker.persisted = false;
@@ -326,6 +327,7 @@
   public void startAnswered(DispatchCommand.Start start, CommandReply reply, long nowMs) {
     starter.startAnswered();
     Run run = start.run();
+    noteDoubt(run.worker, reply);
     if (run.worker.runs.get(run.task.key) != run) {
       return;
     }
@@ -356,10 +358,14 @@
   /** Handles the answer to a stop. */
   public void stopAnswered(DispatchCommand.Stop stop, CommandReply reply, long nowMs) {
     WorkerState worker = workers.get(stop.worker().id());
-    Run run = worker == null ? null : worker.runs.get(stop.task());
     if (reply == CommandReply.FENCED) {
       markFenced(stop.worker().id());
     }
+    if (worker == null) {
+      return;
+    }
+    noteDoubt(worker, reply);
+    Run run = worker.runs.get(stop.task());
     if (run == null || run.number != stop.number()) {
       return;
     }
@@ -372,7 +378,11 @@
   /** Handles the answer to a CPU limit. */
   public void cpuLimitAnswered(DispatchCommand.LimitCpu limit, CommandReply reply, long nowMs) {
     WorkerState worker = workers.get(limit.worker().id());
-    Run run = worker == null ? null : worker.runs.get(limit.task());
+    if (worker == null) {
+      return;
+    }
+    noteDoubt(worker, reply);
+    Run run = worker.runs.get(limit.task());
     if (run == null || run.number != limit.number()) {
       return;
     }
@@ -384,6 +394,13 @@
     }
   }
 
+  /** Handles a call that the worker may not have answered: it may have started again. */
+  private static void noteDoubt(WorkerState worker, CommandReply reply) {
+    if (!reply.isFromWorker()) {
+      worker.callFailed();
+    }
+  }
+
   private void markFenced(String workerId) {
     if (!fenced) {
       fenced = true;
--- a/src/main/java/org/plantainloom/coordination/dispatch/Placement.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/Placement.java
@@ -99,10 +99,9 @@
   /** Returns whether any new task may start on a worker. */
   boolean isUsable(WorkerState worker, long nowMs) {
     return worker.registered
-        && worker.confirmed
+        && worker.isRegisteredInLife()
         && worker.persisted
         && !worker.unreachable
-        && worker.isClockKnown()
         && !worker.registration.draining()
         && worker.suspendedUntilMs <= nowMs
         && !withdrawnZones.contains(worker.registration.zone());
--- a/src/main/java/org/plantainloom/coordination/dispatch/Run.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/Run.java
@@ -20,7 +20,7 @@
   int progressPercent = -1;
   long lastProgressMs;
 
-  /** When a poll last listed the run. */
+  /** When a poll last listed the run; 0 if none has. */
   long lastReportedMs;
 
   /** The limit that the worker has confirmed. */
@@ -68,6 +68,19 @@
     worker.mayHaveStoppingRuns = true;
   }
 
+  /**
+   * Has a stop sent again, even if the worker has confirmed it: in another life it knows of none.
+   */
+  void repeatStop() {
+    stopAnsweredMs = -1;
+    worker.mayHaveStoppingRuns |= isStopping();
+  }
+
+  /** Returns whether the worker has listed the run. */
+  boolean isListed() {
+    return lastReportedMs != 0;
+  }
+
   boolean isStopping() {
     return stage == Stage.STOPPING;
   }
--- a/src/main/java/org/plantainloom/coordination/dispatch/RunLifecycle.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/RunLifecycle.java
@@ -204,7 +204,11 @@
 
   /** Handles the loss of all runs of a worker. */
   void allRunsLost(WorkerState worker, Evidence evidence, long evidenceMs, long nowMs) {
-    List<Run> lost = new ArrayList<>(worker.runs.values());
+    allLost(worker, new ArrayList<>(worker.runs.values()), evidence, evidenceMs, nowMs);
+  }
+
+  /** Handles the loss of some runs of a worker. */
+  void allLost(WorkerState worker, List<Run> lost, Evidence evidence, long evidenceMs, long nowMs) {
     if (!lost.isEmpty()) {
       log.logDecision("worker-lost", worker.id(), "reason=" + evidence + " runs=" + lost.size());
     }
--- a/src/main/java/org/plantainloom/coordination/dispatch/Takeover.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/Takeover.java
@@ -64,7 +64,7 @@
    * @param confirmedMs when the store last confirmed the ownership
    */
   boolean isLeaseKnown(WorkerState worker, long confirmedMs) {
-    return areLeasesOver(confirmedMs) || (previousOwnersKnown && worker.confirmed);
+    return areLeasesOver(confirmedMs) || (previousOwnersKnown && worker.isConfirmed());
   }
 
   boolean areLeasesOver(long nowMs) {
@@ -110,7 +110,7 @@
   private void logUnansweredWorkers(long nowMs) {
     List<String> unanswered =
         workers.all().stream()
-            .filter(worker -> !worker.confirmed && worker.possibleTasks.isEmpty())
+            .filter(worker -> !worker.isConfirmed() && worker.possibleTasks.isEmpty())
             .map(WorkerState::id)
             .toList();
     log.logDecision(
--- a/src/main/java/org/plantainloom/coordination/dispatch/TaskStarter.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/TaskStarter.java
@@ -162,7 +162,7 @@
 
   private DispatchCommand startCommand(Run run, Takeover takeover, long nowMs) {
     WorkerState worker = run.worker;
-    worker.leaseExtended(nowMs, policy);
+    worker.leaseExtended(nowMs, policy.longestLeaseMs());
     log.logDecision(
         "run-ordered",
         run,
@@ -175,6 +175,6 @@
         new StartTaskCommand(
             run.task.key, run.number, run.task.phase.job.spec.payload(), run.task.checkpoint, "");
     return new DispatchCommand.Start(
-        run, worker.registration, command, worker.clockAt(nowMs) + policy.leaseMs());
+        run, worker.registration, command, worker.life().clockAt(nowMs) + policy.leaseMs());
   }
 }
--- a/src/main/java/org/plantainloom/coordination/dispatch/WorkerPolls.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/WorkerPolls.java
@@ -23,19 +23,20 @@
   /** Returns the next poll of a worker if it is due. */
   Optional<DispatchCommand.Poll> pollIfDue(WorkerState worker, long nowMs, long wallMs) {
     worker.advanceAcknowledgement();
-    boolean unpersistedEnds = worker.lastEndSeen > worker.acknowledgedEnd;
+    boolean unpersistedEnds = worker.hasUnacknowledgedEnds();
     if (worker.pollInFlight
         || (nowMs < worker.nextPollMs && (unpersistedEnds || worker.unreachable))) {
       return Optional.empty();
     }
     worker.pollInFlight = true;
     // A worker that does not answer, or has not answered yet, gets no renewal: runs that this owner
-    // does not know of would go on for another lease.
-    if (worker.confirmed && !worker.unreachable) {
+    // does not know of would go on for another lease. Neither does one that may have started again,
+    // as its clock is not known then.
+    if (worker.isLifeCertain() && !worker.unreachable) {
       long waitMs = unpersistedEnds ? 0 : waitMs(worker, ownership.remainingMs(nowMs, wallMs));
       return Optional.of(
           ownership.isValid(nowMs, wallMs)
-              ? renewal(worker, worker.clockAt(nowMs), waitMs, nowMs)
+              ? renewal(worker, worker.life().clockAt(nowMs), waitMs, nowMs)
               : withoutRenewal(worker, waitMs));
     }
     return Optional.of(withoutRenewal(worker, 0));
@@ -43,7 +44,7 @@
 
   private static DispatchCommand.Poll withoutRenewal(WorkerState worker, long waitMs) {
     return new DispatchCommand.Poll(
-        worker.registration, Optional.empty(), worker.acknowledgedEnd, waitMs);
+        worker.registration, Optional.empty(), worker.acknowledgement(), waitMs);
   }
 
   /**
@@ -59,11 +60,11 @@
 
   private DispatchCommand.Poll renewal(
       WorkerState worker, long workerClockMs, long waitMs, long nowMs) {
-    worker.leaseExtended(nowMs, policy);
+    worker.leaseExtended(nowMs, policy.longestLeaseMs());
     return new DispatchCommand.Poll(
         worker.registration,
         Optional.of(workerClockMs + policy.leaseMs()),
-        worker.acknowledgedEnd,
+        worker.acknowledgement(),
         waitMs);
   }
 
--- a/src/main/java/org/plantainloom/coordination/dispatch/WorkerReconciler.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/WorkerReconciler.java
@@ -15,7 +15,8 @@
  *
  * <p>Runs that a previous owner started are adopted. Runs that should not exist are stopped. Runs
  * that were confirmed well before the poll was sent but are reported neither as running nor as
- * ended are dropped.
+ * ended are dropped. If the worker has started again, runs that its former life has listed are
+ * over; any other may have started in either life and is decided by the lists of the new one.
  */
 final class WorkerReconciler {
   /** A worker with a run of unknown size gets no tasks for this long; a stop takes less. */
@@ -41,21 +42,16 @@
    */
   List<DispatchCommand> reconcile(
       WorkerState worker, WorkerSnapshot snapshot, long sentMs, long nowMs) {
-    detectRestart(worker, snapshot, sentMs, nowMs);
-    if (!worker.isClockKnown() || snapshot.clockMs() >= worker.clockAt(nowMs) - policy.leaseMs()) {
-      worker.clockMs = snapshot.clockMs();
-      worker.clockReadMs = nowMs;
+    if (worker.isConfirmed() && worker.life().isNamedBy(snapshot.startedAtMs())) {
+      worker.life().answered(snapshot.clockMs(), policy.leaseMs(), nowMs);
+    } else {
+      beginLife(worker, snapshot, sentMs, nowMs);
     }
     if (worker.unreachable) {
       worker.unreachable = false;
       worker.persisted = false;
       log.logDecision("worker-regained", worker.id(), "runs=" + worker.runs.size());
     }
-    if (!worker.confirmed) {
-      worker.confirmed = true;
-      // A previous owner may have renewed the lease until the worker knew of this one.
-      worker.leaseExtended(nowMs, policy);
-    }
     applyEnds(worker, snapshot.ended(), sentMs, nowMs);
     List<DispatchCommand> commands = new ArrayList<>();
     Set<TaskKey> running = new HashSet<>();
@@ -67,26 +63,38 @@
     return commands;
   }
 
-  private void detectRestart(WorkerState worker, WorkerSnapshot snapshot, long sentMs, long nowMs) {
-    if (snapshot.startedAtMs() != 0 && snapshot.startedAtMs() != worker.incarnation) {
-      if (worker.incarnation != 0) {
-        runs.allRunsLost(worker, Evidence.WORKER_RESTARTED, sentMs, nowMs);
-      }
-      worker.restarted(snapshot.startedAtMs());
+  private void beginLife(WorkerState worker, WorkerSnapshot snapshot, long sentMs, long nowMs) {
+    boolean restarted = worker.isConfirmed();
+    WorkerLife life = new WorkerLife(snapshot.startedAtMs(), snapshot.clockMs(), nowMs);
+    List<Run> over = worker.beginLife(life);
+    if (restarted) {
+      // A start that was sent to the former life names a time on a clock which may be far ahead.
+      worker.leaseExtended(nowMs, policy.longestPlatformLeaseMs());
+      log.logDecision(
+          "worker-restarted",
+          worker.id(),
+          "runs="
+              + worker.runs.size()
+              + " over="
+              + over.size()
+              + " startedAt="
+              + snapshot.startedAtMs());
+      runs.allLost(worker, over, Evidence.WORKER_RESTARTED, sentMs, nowMs);
+    } else {
+      // A previous owner may have renewed the lease until the worker knew of this one.
+      worker.leaseExtended(nowMs, policy.longestLeaseMs());
     }
   }
 
   private void applyEnds(WorkerState worker, List<EndedRun> ends, long sentMs, long nowMs) {
     for (EndedRun end : ends) {
-      if (end.sequenceNumber() <= worker.lastEndSeen) {
+      if (!worker.life().isNewEnd(end.sequenceNumber())) {
         continue;
       }
-      worker.lastEndSeen = end.sequenceNumber();
       JobState job = jobs.job(end.task().jobId());
       TaskState task = job == null ? null : job.task(end.task());
       if (task == null) {
-        worker.unacknowledgedEnds.add(
-            new WorkerState.UnacknowledgedEnd(end.sequenceNumber(), null, 0));
+        worker.life().addEnd(end.sequenceNumber());
         continue;
       }
       Run run = worker.runs.get(end.task());
@@ -95,9 +103,11 @@
       } else {
         runs.unknownRunEnded(task, end.run(), worker, end.kind(), end.checkpoint(), sentMs, nowMs);
       }
-      JobState waitsFor = end.kind().mustPersist() && job.isDirty() ? job : null;
-      worker.unacknowledgedEnds.add(
-          new WorkerState.UnacknowledgedEnd(end.sequenceNumber(), waitsFor, job.version));
+      if (end.kind().mustPersist() && job.isDirty()) {
+        worker.life().addEnd(end.sequenceNumber(), job);
+      } else {
+        worker.life().addEnd(end.sequenceNumber());
+      }
     }
   }
 
--- a/src/main/java/org/plantainloom/coordination/dispatch/WorkerState.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/WorkerState.java
@@ -1,13 +1,10 @@
 package org.plantainloom.coordination.dispatch;
 
-import java.util.ArrayDeque;
 import java.util.HashMap;
-import java.util.Iterator;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Queue;
 import java.util.Set;
 import java.util.function.Function;
 import org.plantainloom.state.ResourceVector;
@@ -36,27 +33,14 @@
   /** For an unreachable worker, the tasks of previous owners that it may run, if known. */
   Optional<List<TaskKey>> possibleTasks = Optional.empty();
 
-  /** Whether it has answered a poll that carried the fencing token of this owner. */
-  boolean confirmed;
-
   boolean unreachable;
-  long incarnation;
-
-  /** The worker's clock as of {@link #clockReadMs}. */
-  long clockMs;
 
-  /** When the worker's clock was read, on this process's clock; -1 if it was not. */
-  long clockReadMs = -1;
+  /** The life in which it has answered a poll of this owner last; empty if it has not. */
+  private Optional<WorkerLife> life = Optional.empty();
 
   /** When the lease has expired for certain, on this process's clock. */
   long leaseExpiryMs;
 
-  /** Largest sequence number of an ended run that was reported. */
-  long lastEndSeen;
-
-  /** Largest sequence number of an ended run that may be acknowledged. */
-  long acknowledgedEnd;
-
   boolean pollInFlight;
   long nextPollMs;
 
@@ -77,7 +61,6 @@
   long suspendedUntilMs;
   private long nextSuspensionMs = INITIAL_SUSPENSION_MS;
   final Map<TaskKey, Run> runs = new HashMap<>();
-  final Queue<UnacknowledgedEnd> unacknowledgedEnds = new ArrayDeque<>();
   private List<ServingSlack> servingSlacks = List.of();
   private long servingSlacksComputedMs = Long.MIN_VALUE;
   private ResourceVector reserved = ResourceVector.ZERO;
@@ -85,18 +68,8 @@
   private int servingCpuMillis;
   private int lastingCpuMillis;
 
-  /**
-   * An ended run that may be acknowledged to the worker once its job is persisted.
-   *
-   * @param number the worker's sequence number of the end
-   * @param job the job whose progress has to be persisted first; null for none
-   * @param version version of the job that includes the end
-   */
-  record UnacknowledgedEnd(long number, JobState job, long version) {}
-
   WorkerState(WorkerRegistration registration, long nowMs) {
     this.registration = registration;
-    this.incarnation = registration.startedAtMs();
     this.nextPollMs = nowMs;
   }
 
@@ -112,7 +85,7 @@
     Set<TaskKey> tasks = new LinkedHashSet<>(runs.keySet());
     possibleTasks.ifPresent(tasks::addAll);
     // Until the first answer it is unknown what a previous owner may have started here.
-    boolean tasksKnown = confirmed || possibleTasks.isPresent();
+    boolean tasksKnown = isConfirmed() || possibleTasks.isPresent();
     return new FleetMember(
         registration, tasksKnown ? Optional.of(List.copyOf(tasks)) : Optional.empty());
   }
@@ -174,32 +147,71 @@
     reserved = sign > 0 ? reserved.plus(need) : reserved.minus(need);
   }
 
-  /** Returns the worker's clock in milliseconds; behind by at most one message delay. */
-  long clockAt(long nowMs) {
-    return clockMs + (nowMs - clockReadMs);
+  /** Returns whether it has answered a poll that carried the fencing token of this owner. */
+  boolean isConfirmed() {
+    return life.isPresent();
   }
 
-  boolean isClockKnown() {
-    return clockReadMs >= 0;
+  /** Returns the life in which it has answered last. */
+  WorkerLife life() {
+    return life.orElseThrow();
   }
 
-  /** Records that a command or poll extends the lease. */
-  void leaseExtended(long nowMs, DispatchPolicy policy) {
-    leaseExpiryMs = Math.max(leaseExpiryMs, nowMs + policy.longestLeaseMs());
-  }
-
-  /** Advances the acknowledgement up to the first end whose job is not persisted yet. */
-  boolean advanceAcknowledgement() {
-    long before = acknowledgedEnd;
-    for (Iterator<UnacknowledgedEnd> it = unacknowledgedEnds.iterator(); it.hasNext(); ) {
-      UnacknowledgedEnd end = it.next();
-      if (end.job() != null && end.job().persistedVersion < end.version()) {
-        break;
-      }
-      acknowledgedEnd = end.number();
-      it.remove();
+  /** Returns whether its last answer, or its silence, leaves no doubt which life it is in. */
+  boolean isLifeCertain() {
+    return life.filter(WorkerLife::isCertain).isPresent();
+  }
+
+  /** Returns whether its registration is one of the life in which it has answered last. */
+  boolean isRegisteredInLife() {
+    return life.filter(known -> known.isNamedBy(registration.startedAtMs())).isPresent();
+  }
+
+  /** Handles a registration, which may be of another life than the last answer. */
+  void registered(WorkerRegistration newRegistration) {
+    registration = newRegistration;
+    registered = true;
+    if (!isRegisteredInLife()) {
+      callFailed();
     }
-    return acknowledgedEnd > before;
+  }
+
+  /** Handles a call that was not answered by the worker. */
+  void callFailed() {
+    life.ifPresent(WorkerLife::callFailed);
+  }
+
+  /** Returns the number up to which the worker may forget its ended runs; 0 for none. */
+  long acknowledgement() {
+    return life.map(WorkerLife::acknowledgement).orElse(0L);
+  }
+
+  void advanceAcknowledgement() {
+    life.ifPresent(WorkerLife::advanceAcknowledgement);
+  }
+
+  boolean hasUnacknowledgedEnds() {
+    return life.filter(WorkerLife::hasUnacknowledgedEnds).isPresent();
+  }
+
+  /**
+   * Replaces the life that was known.
+   *
+   * @return the runs that are over: those which the former life has listed. Any other may have
+   *     started in either.
+   */
+  List<Run> beginLife(WorkerLife newLife) {
+    List<Run> over = runs.values().stream().filter(Run::isListed).toList();
+    life = Optional.of(newLife);
+    runs.values().forEach(Run::repeatStop);
+    suspendedUntilMs = 0;
+    resetFailures();
+    return over;
+  }
+
+  /** Records that a command or poll extends the lease. */
+  void leaseExtended(long nowMs, long longestLeaseMs) {
+    leaseExpiryMs = Math.max(leaseExpiryMs, nowMs + longestLeaseMs);
   }
 
   void suspend(long nowMs) {
@@ -212,15 +224,4 @@
     consecutiveFailures = 0;
     nextSuspensionMs = INITIAL_SUSPENSION_MS;
   }
-
-  /** Resets what is only valid for one incarnation of the worker process. */
-  void restarted(long startedAtMs) {
-    incarnation = startedAtMs;
-    lastEndSeen = 0;
-    acknowledgedEnd = 0;
-    unacknowledgedEnds.clear();
-    clockReadMs = -1;
-    suspendedUntilMs = 0;
-    resetFailures();
-  }
 }
--- a/src/main/java/org/plantainloom/coordination/dispatch/WorkerTable.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/WorkerTable.java
@@ -81,7 +81,7 @@
   /** Returns whether it is known what all workers run, or may run, for previous owners. */
   boolean areAllConfirmed() {
     return !listIncomplete
-        && workers.values().stream().allMatch(w -> w.confirmed || w.possibleTasks.isPresent());
+        && workers.values().stream().allMatch(w -> w.isConfirmed() || w.possibleTasks.isPresent());
   }
 
   /** Once all jobs are restored, holds back the tasks that unreachable workers may run. */
@@ -137,8 +137,7 @@
       // The next owner lists it as draining until it has read the registration itself.
       worker.persisted = false;
     }
-    worker.registration = registration;
-    worker.registered = true;
+    worker.registered(registration);
   }
 
   /**
--- a/src/main/java/org/plantainloom/state/job/CommandReply.java
+++ b/src/main/java/org/plantainloom/state/job/CommandReply.java
@@ -21,5 +21,13 @@
   /** Another incarnation of the worker replied from its address. */
   OTHER_INCARNATION,
   /** No reply that tells the outcome: the command may have been carried out, or may still be. */
-  UNKNOWN
+  UNKNOWN;
+
+  /** Returns whether the worker replied; otherwise it may have started again in the meantime. */
+  public boolean isFromWorker() {
+    return switch (this) {
+      case OK, FENCED, RUN_SUPERSEDED, TOO_LATE, NO_ROOM, NO_PERMIT, MALFORMED -> true;
+      case UNHEALTHY, OTHER_INCARNATION, UNKNOWN -> false;
+    };
+  }
 }
--- a/src/test/java/org/plantainloom/coordination/dispatch/DispatcherSimulation.java
+++ b/src/test/java/org/plantainloom/coordination/dispatch/DispatcherSimulation.java
@@ -27,6 +27,9 @@
   static final long STOP_GRACE_MS = 400;
   private static final long STEP_MS = 10;
 
+  /** How long a caller waits beyond the time that a poll may take if it was lost on its way. */
+  private static final long POLL_SLACK_MS = 700;
+
   final List<SimulatedWorker> workers = new ArrayList<>();
   final List<String> log = new ArrayList<>();
   final Map<String, JobProgress> persistedProgress = new HashMap<>();
@@ -47,7 +50,21 @@
   private List<FleetMember> persistedFleet = List.of();
   private long revision;
 
-  private record PendingPoll(DispatchCommand.Poll command, SimulatedWorker worker, long sentMs) {}
+  /** A poll that was sent to one life of a worker; another life does not answer it. */
+  private record PendingPoll(
+      DispatchCommand.Poll command, SimulatedWorker worker, long startedAtMs, long sentMs) {
+    boolean isLost() {
+      return worker.unreachable || isOfFormerLife();
+    }
+
+    long lossNoticedMs() {
+      return sentMs + command.waitMs() + (isOfFormerLife() ? POLL_SLACK_MS : 0);
+    }
+
+    private boolean isOfFormerLife() {
+      return worker.registration.startedAtMs() != startedAtMs;
+    }
+  }
 
   DispatcherSimulation(int workerCount, int cores) {
     this(workerCount, cores, MAX_LEASE_MS);
@@ -218,11 +235,11 @@
       PendingPoll poll = it.next();
       SimulatedWorker worker = poll.worker();
       boolean due = nowMs >= poll.sentMs() + poll.command().waitMs() || !worker.ended.isEmpty();
-      if (worker.unreachable && nowMs >= poll.sentMs() + poll.command().waitMs()) {
+      if (poll.isLost() && nowMs >= poll.lossNoticedMs()) {
         it.remove();
         dispatcher.pollAnswered(
             worker.registration, new PollReply.Unavailable("no answer"), poll.sentMs(), nowMs);
-      } else if (!worker.unreachable && due) {
+      } else if (!poll.isLost() && due) {
         it.remove();
         dispatcher.pollAnswered(
             worker.registration,
@@ -252,7 +269,7 @@
             .ifPresent(end -> worker.leaseUntilMs = Math.max(worker.leaseUntilMs, end));
         worker.acknowledge(poll.acknowledged());
       }
-      pendingPolls.add(new PendingPoll(poll, worker, nowMs));
+      pendingPolls.add(new PendingPoll(poll, worker, worker.registration.startedAtMs(), nowMs));
     }
   }
 
--- a/src/test/java/org/plantainloom/coordination/dispatch/SimulatedWorker.java
+++ b/src/test/java/org/plantainloom/coordination/dispatch/SimulatedWorker.java
@@ -2,10 +2,12 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.Set;
 import org.plantainloom.state.ResourceVector;
 import org.plantainloom.state.job.ActiveRun;
 import org.plantainloom.state.job.CommandReply;
@@ -39,10 +41,14 @@
   /** Maximum relative error of a noisy measurement. */
   private static final double NOISE = 0.15;
 
-  final WorkerRegistration registration;
+  WorkerRegistration registration;
   final Map<TaskKey, SimulatedRun> running = new LinkedHashMap<>();
   final List<EndedRun> ended = new ArrayList<>();
   final Map<TaskKey, Integer> starts = new HashMap<>();
+
+  /** Tasks that were started again after they had ended as done in the same life. */
+  final Set<TaskKey> repeated = new HashSet<>();
+
   boolean unreachable;
   boolean startAnswersLost;
   boolean failing;
@@ -61,6 +67,8 @@
 
   long leaseUntilMs;
   private long lastEndNumber;
+  private long clockStartMs;
+  private final Set<TaskKey> done = new HashSet<>();
   private final Random random;
 
   /** A run on the worker. */
@@ -100,16 +108,32 @@
             REGISTERED_CLOCK_MS);
   }
 
+  /** Starts again under its id: it knows nothing of before, and its clock and counts begin anew. */
+  void restart(long nowMs) {
+    registration = registration(false, registration.startedAtMs() + 1);
+    running.clear();
+    ended.clear();
+    done.clear();
+    lastEndNumber = 0;
+    leaseUntilMs = 0;
+    clockStartMs = nowMs;
+    unreachable = false;
+  }
+
   WorkerRegistration drainingRegistration() {
+    return registration(true, registration.startedAtMs());
+  }
+
+  private WorkerRegistration registration(boolean draining, long startedAtMs) {
     return new WorkerRegistration(
         registration.id(),
         registration.service(),
         registration.address(),
         registration.zone(),
-        true,
+        draining,
         registration.capacity(),
         registration.labels(),
-        registration.startedAtMs(),
+        startedAtMs,
         registration.clockMs());
   }
 
@@ -124,6 +148,9 @@
     running.put(
         command.command().task(), new SimulatedRun(command.command().run(), phase, durationMs));
     starts.merge(command.command().task(), 1, Integer::sum);
+    if (done.contains(command.command().task())) {
+      repeated.add(command.command().task());
+    }
     leaseUntilMs = Math.max(leaseUntilMs, command.leaseUntilMs());
     return startAnswersLost ? CommandReply.UNKNOWN : CommandReply.OK;
   }
@@ -149,10 +176,13 @@
   void end(TaskKey task, RunOutcome kind) {
     SimulatedRun run = running.remove(task);
     ended.add(new EndedRun(++lastEndNumber, task, run.number, kind, ""));
+    if (kind == RunOutcome.DONE) {
+      done.add(task);
+    }
   }
 
   void advance(long nowMs, long stepMs, Disturbance disturbance) {
-    if (leaseUntilMs != 0 && nowMs > leaseUntilMs) {
+    if (leaseUntilMs != 0 && nowMs - clockStartMs > leaseUntilMs) {
       new ArrayList<>(running.keySet()).forEach(task -> end(task, RunOutcome.LEASE_LAPSED));
     }
     for (TaskKey task : new ArrayList<>(running.keySet())) {
@@ -188,7 +218,8 @@
                   : Math.round(addNoise(run.phase.spec.need().cpuMillis() * run.recentCpuShare));
           reports.add(new ActiveRun(task, run.number, "", percent, recent));
         });
-    return new WorkerSnapshot(nowMs, 7, reports, List.copyOf(ended));
+    return new WorkerSnapshot(
+        nowMs - clockStartMs, registration.startedAtMs(), reports, List.copyOf(ended));
   }
 
   /** Defines by how much a fill image disturbs a serving image. */
