Explore owners that reach only some of their workers

The exploration of handovers replaced owners, silenced workers and cut a zone once, but each owner reached all workers of a zone or none, the store carried out each write at once, and a message was lost or late, but never held by a cut. So it drew few of the ways in which a run counts as over on other evidence than the worker's word.

- PARTED_OWNERS cuts some owners off from some workers, several times, in one direction or both, for 3 to 15 s, beside cuts of a zone, pauses, changes of the owner and outages of the store.
Messages may wait for the end of a cut.
The store refuses writes, carries them out late, or does not reply; a write requires the owner's key and the revision of what it replaces.
Polls, too, may arrive seconds late.
- Clock rates, the longest run, whether successors are parted from workers, and how many ends a worker lists are parameters of the scenario.
- Besides a start after an acknowledged end, an end that is acknowledged after a later start of its task counts as broken, unless the worker's lease lapsed between the two.
- A schedule ends once all is settled, and all schedules that are broken are reported.

The simulation is split into its owners, network, store, faults and the ledger of runs.

--- a/src/test/java/org/plantainloom/coordination/dispatch/HandoverScenario.java
+++ b/src/test/java/org/plantainloom/coordination/dispatch/HandoverScenario.java
@@ -2,25 +2,85 @@
 
 /** What a schedule of changes of the owner holds beside pauses and silent workers. */
 enum HandoverScenario {
-  SHORT_RUNS(false, false),
+  SHORT_RUNS {
+    @Override
+    int longestRunMs() {
+      return 2_800;
+    }
+
+    @Override
+    long endMs() {
+      return 60_000;
+    }
+
+    @Override
+    boolean partsSuccessors() {
+      return false;
+    }
+  },
   /** Tasks outlast several leases, and new owners cannot reach some worker. */
-  LONG_RUNS(true, false),
+  LONG_RUNS,
   /** The same, and a zone is cut off, with the owner or without it, also in one direction only. */
-  ZONE_CUTS(true, true);
+  ZONE_CUTS {
+    @Override
+    void schedule(HandoverFaults faults) {
+      faults.scheduleZoneCut();
+    }
+  },
+  /**
+   * Some owners reach a worker and others do not, several times and beside cuts of a zone; messages
+   * wait for the end of a cut; the store is down, refuses writes or carries them out late.
+   */
+  PARTED_OWNERS {
+    @Override
+    void schedule(HandoverFaults faults) {
+      faults.schedulePartedOwners();
+      faults.scheduleStoreFaults();
+    }
+
+    @Override
+    boolean delaysPolls() {
+      return true;
+    }
+  };
+
+  private static final double[] CLOCK_RATES = {0.98, 1, 1.02};
+
+  /** The rates at which the clocks of processes may run. */
+  double[] clockRates() {
+    return CLOCK_RATES;
+  }
 
-  private final boolean longRuns;
-  private final boolean zoneCuts;
+  /** The longest time that a task runs. */
+  int longestRunMs() {
+    return 15_300;
+  }
+
+  /** When all jobs have to be completed; long tasks that are lost begin again. */
+  long endMs() {
+    return 90_000;
+  }
 
-  HandoverScenario(boolean longRuns, boolean zoneCuts) {
-    this.longRuns = longRuns;
-    this.zoneCuts = zoneCuts;
+  /** Whether new owners cannot reach some worker that a former one reaches. */
+  boolean partsSuccessors() {
+    return true;
   }
 
-  boolean hasLongRuns() {
-    return longRuns;
+  /** Whether a poll, too, may be carried out seconds after it was sent. */
+  boolean delaysPolls() {
+    return false;
   }
 
-  boolean hasZoneCuts() {
-    return zoneCuts;
+  /** Whether each change of the owner comes with new jobs, and former owners read them, too. */
+  boolean submitsAtHandover() {
+    return false;
   }
+
+  /** How many ended runs a worker lists at a time. */
+  int listLimit() {
+    return 500;
+  }
+
+  /** Adds the faults of this scenario to a schedule. */
+  void schedule(HandoverFaults faults) {}
 }
--- a/src/test/java/org/plantainloom/coordination/dispatch/HandoverWorker.java
+++ b/src/test/java/org/plantainloom/coordination/dispatch/HandoverWorker.java
@@ -25,20 +25,24 @@
     }
   }
 
-  final String id;
-  final int zone;
+  private record ListedEnd(EndedRun run, long endedMs) {}
+
+  private final String id;
+  private final int zone;
   private final LongSupplier clock;
   private final IntSupplier runTimes;
-  private final Set<TaskKey> persistedEnds;
-  private final List<String> violations;
+  private final int listLimit;
+  private final RunLedger ledger;
   boolean registered = true;
   boolean draining;
-  final Map<TaskKey, RunningTask> running = new HashMap<>();
-  private final Map<TaskKey, Long> closedRuns = new HashMap<>();
-  private final List<EndedRun> ended = new ArrayList<>();
   long silentUntilMs;
-  int cutFromTerm = Integer.MAX_VALUE;
-  long cutUntilMs;
+  private final Map<TaskKey, RunningTask> running = new HashMap<>();
+  private final Map<TaskKey, Long> closedRuns = new HashMap<>();
+  private final List<ListedEnd> ended = new ArrayList<>();
+  private long startedAtMs = 7;
+  private long downUntilMs;
+  private long clockOriginMs;
+  private String kind = "a";
   private long token;
   private long leaseUntilMs;
   private long lastEnd;
@@ -55,30 +59,43 @@
    * @param zone the worker's availability zone
    * @param clock the worker's own clock in milliseconds
    * @param runTimes provides how long each run takes, in milliseconds
-   * @param persistedEnds tasks whose end was acknowledged; they must not run again
-   * @param violations receives what was broken
+   * @param listLimit how many ended runs one reply lists at most
+   * @param ledger receives what the worker runs
    */
   HandoverWorker(
       String id,
       int zone,
       LongSupplier clock,
       IntSupplier runTimes,
-      Set<TaskKey> persistedEnds,
-      List<String> violations) {
+      int listLimit,
+      RunLedger ledger) {
     this.id = id;
     this.zone = zone;
     this.clock = clock;
     this.runTimes = runTimes;
-    this.persistedEnds = persistedEnds;
-    this.violations = violations;
+    this.listLimit = listLimit;
+    this.ledger = ledger;
   }
 
-  private long now() {
-    return clock.getAsLong();
+  String id() {
+    return id;
+  }
+
+  int zone() {
+    return zone;
+  }
+
+  Set<TaskKey> runningTasks() {
+    return running.keySet();
+  }
+
+  /** Returns when the current life of the worker began. */
+  long startedAtMs() {
+    return startedAtMs;
   }
 
-  boolean isCutFrom(int term, long timeMs) {
-    return term >= cutFromTerm && timeMs < cutUntilMs;
+  private long now() {
+    return clock.getAsLong() - clockOriginMs;
   }
 
   WorkerRegistration registration() {
@@ -89,11 +106,31 @@
         "zone-1",
         draining,
         new ResourceVector(8_000, 32_000, 0),
-        List.of("a", "r1"),
-        7,
+        List.of(kind, "r1"),
+        startedAtMs,
         now());
   }
 
+  /** Whether the process has crashed and its successor under the same id is not up yet. */
+  boolean isDown() {
+    return ledger.now() < downUntilMs;
+  }
+
+  /** Crashes, and begins another life under the same id, which knows nothing of the one before. */
+  void restart(String newKind, long downMs) {
+    startedAtMs = ledger.now() + downMs;
+    downUntilMs = startedAtMs;
+    clockOriginMs = clock.getAsLong() + downMs;
+    kind = newKind;
+    running.clear();
+    closedRuns.clear();
+    ended.clear();
+    token = 0;
+    leaseUntilMs = 0;
+    lastEnd = 0;
+    lastEndBeforeLapse = 0;
+  }
+
   void advance() {
     if (now() > leaseUntilMs) {
       lastEndBeforeLapse = lastEnd;
@@ -110,7 +147,7 @@
   private void end(TaskKey task, RunOutcome outcome) {
     long run = running.remove(task).run();
     closedRuns.merge(task, run, Math::max);
-    ended.add(new EndedRun(++lastEnd, task, run, outcome, ""));
+    ended.add(new ListedEnd(new EndedRun(++lastEnd, task, run, outcome, ""), ledger.now()));
   }
 
   /**
@@ -118,26 +155,22 @@
    *
    * @param sentMs when the command was sent, on the owner's clock
    */
-  Runnable execute(
-      int term,
-      Dispatcher dispatcher,
-      DispatchCommand command,
-      long sentMs,
-      LongSupplier ownerClock) {
-    boolean fenced = term < token;
-    token = Math.max(token, term);
+  Runnable execute(HandoverOwner owner, DispatchCommand command, long sentMs) {
+    boolean fenced = owner.term() < token;
+    token = Math.max(token, owner.term());
+    Dispatcher dispatcher = owner.dispatcher();
     if (command instanceof DispatchCommand.Start start) {
       CommandReply reply = fenced ? CommandReply.FENCED : start(start);
-      return () -> dispatcher.startAnswered(start, reply, ownerClock.getAsLong());
+      return () -> dispatcher.startAnswered(start, reply, owner.time());
     } else if (command instanceof DispatchCommand.Stop stop) {
       if (!fenced) {
         stop(stop);
       }
       CommandReply reply = fenced ? CommandReply.FENCED : CommandReply.OK;
-      return () -> dispatcher.stopAnswered(stop, reply, ownerClock.getAsLong());
+      return () -> dispatcher.stopAnswered(stop, reply, owner.time());
     } else if (command instanceof DispatchCommand.Poll poll) {
       PollReply reply = fenced ? new PollReply.Fenced() : poll(poll);
-      return () -> dispatcher.pollAnswered(registration(), reply, sentMs, ownerClock.getAsLong());
+      return () -> dispatcher.pollAnswered(registration(), reply, sentMs, owner.time());
     }
     return () -> {};
   }
@@ -152,19 +185,20 @@
     if (start.leaseUntilMs() < now()) {
       return CommandReply.TOO_LATE;
     }
-    leaseUntilMs =
-        Math.max(
-            leaseUntilMs, Math.min(start.leaseUntilMs(), now() + HandoverSimulation.MAX_LEASE_MS));
+    extendLease(start.leaseUntilMs());
     if (run <= closedRuns.getOrDefault(task, 0L) || present != null) {
       return CommandReply.RUN_SUPERSEDED;
     }
-    if (persistedEnds.contains(task)) {
-      violations.add(task + "#" + run + " starts after its end was persisted");
-    }
+    ledger.started(task, run, id);
     running.put(task, new RunningTask(run, now(), now() + runTimes.getAsInt()));
     return CommandReply.OK;
   }
 
+  private void extendLease(long untilMs) {
+    leaseUntilMs =
+        Math.max(leaseUntilMs, Math.min(untilMs, now() + HandoverSimulation.MAX_LEASE_MS));
+  }
+
   private void stop(DispatchCommand.Stop stop) {
     closedRuns.merge(stop.task(), stop.number(), Math::max);
     RunningTask present = running.get(stop.task());
@@ -174,23 +208,20 @@
   }
 
   private PollReply poll(DispatchCommand.Poll poll) {
-    poll.leaseUntilMs()
-        .ifPresent(
-            until ->
-                leaseUntilMs =
-                    Math.max(
-                        leaseUntilMs, Math.min(until, now() + HandoverSimulation.MAX_LEASE_MS)));
-    for (EndedRun end : ended) {
-      if (end.sequenceNumber() <= poll.acknowledged()
-          && end.sequenceNumber() > lastEndBeforeLapse
-          && end.kind() == RunOutcome.DONE) {
-        persistedEnds.add(end.task());
+    poll.leaseUntilMs().ifPresent(this::extendLease);
+    for (ListedEnd end : ended) {
+      long number = end.run().sequenceNumber();
+      if (number <= poll.acknowledged()
+          && number > lastEndBeforeLapse
+          && end.run().kind() == RunOutcome.DONE) {
+        ledger.doneAcknowledged(end.run().task(), end.run().run(), end.endedMs(), id);
       }
     }
-    ended.removeIf(end -> end.sequenceNumber() <= poll.acknowledged());
+    ended.removeIf(end -> end.run().sequenceNumber() <= poll.acknowledged());
     List<ActiveRun> runs = new ArrayList<>();
     running.forEach(
         (task, run) -> runs.add(new ActiveRun(task, run.run(), "", run.percent(now()), 1_000)));
-    return new PollReply.Answered(new WorkerSnapshot(now(), 7, runs, List.copyOf(ended)));
+    List<EndedRun> ends = ended.stream().limit(listLimit).map(ListedEnd::run).toList();
+    return new PollReply.Answered(new WorkerSnapshot(now(), startedAtMs, runs, ends));
   }
 }
--- a/src/test/java/org/plantainloom/coordination/dispatch/ZoneCut.java
+++ b/src/test/java/org/plantainloom/coordination/dispatch/ZoneCut.java
@@ -1,20 +1,29 @@
 package org.plantainloom.coordination.dispatch;
 
 /**
- * A cut between the zone of the store and the other zone, in one direction or in both.
+ * A cut between the zone of the store and the other zone.
  *
- * @param untilMs when the cut ends
- * @param fromStoreZone whether messages from the store's zone are lost
- * @param toStoreZone whether messages to the store's zone are lost
+ * @param fromStoreZone whether messages from the store's zone are stopped
+ * @param toStoreZone whether messages to the store's zone are stopped
  */
-record ZoneCut(long untilMs, boolean fromStoreZone, boolean toStoreZone) {
+record ZoneCut(long untilMs, boolean fromStoreZone, boolean toStoreZone, boolean holdsMessages)
+    implements LinkCut {
   static final int STORE_ZONE = 1;
-  static final ZoneCut NONE = new ZoneCut(0, false, false);
 
-  /** Returns whether a message between two zones is lost. */
+  /** Returns whether a message between two zones is stopped. */
   boolean drops(int fromZone, int toZone, long nowMs) {
     return nowMs < untilMs
         && fromZone != toZone
         && (fromZone == STORE_ZONE ? fromStoreZone : toStoreZone);
   }
+
+  @Override
+  public boolean stopsCommand(HandoverOwner owner, HandoverWorker worker, long nowMs) {
+    return drops(owner.zone(), worker.zone(), nowMs);
+  }
+
+  @Override
+  public boolean stopsReply(HandoverOwner owner, HandoverWorker worker, long nowMs) {
+    return drops(worker.zone(), owner.zone(), nowMs);
+  }
 }
