Explore workers that are reborn and lists of ends that are cut off

Two known faults had no schedules in the exploration. REBORN_WORKERS crashes a worker that is back under its id within 0.2 to 2 s: empty, with a new start time, ends numbered from 1, its clock anew, without a fencing token, and at times as another kind. Commands sent to the former life do not reach the new one, as their connection ended with it. CUT_OFF_LISTS lists two ends at a time, while outages and late writes keep ends waiting, also over a change of the owner.

What a reborn worker of another kind is given to run is not checked.

--- a/src/test/java/org/plantainloom/coordination/dispatch/HandoverScenario.java
+++ b/src/test/java/org/plantainloom/coordination/dispatch/HandoverScenario.java
@@ -42,6 +42,35 @@
     boolean delaysPolls() {
       return true;
     }
+  },
+  /** A worker crashes and is back under its id within seconds, also as another kind. */
+  REBORN_WORKERS {
+    @Override
+    void schedule(HandoverFaults faults) {
+      faults.scheduleRestarts();
+    }
+
+    @Override
+    int longestRunMs() {
+      return 2_800;
+    }
+  },
+  /** A worker lists a few of its ends at a time, and outages of the store keep them waiting. */
+  CUT_OFF_LISTS {
+    @Override
+    void schedule(HandoverFaults faults) {
+      faults.scheduleStoreFaults();
+    }
+
+    @Override
+    int longestRunMs() {
+      return 2_800;
+    }
+
+    @Override
+    int listLimit() {
+      return 2;
+    }
   };
 
   private static final double[] CLOCK_RATES = {0.98, 1, 1.02};
