Conclude nothing from a list of ended runs that may be cut off

A worker lists 500 ended runs at a time. A run whose end was beyond them counted as vanished, or as stopped, and a new owner took the worker as known after its first list. A row that could not be read was left out with the same effect.

Only then is a run dropped that it lacks, are tasks released that a silent worker may run, and is the worker known to this owner and to the next one. A takeover waits for a worker that answers beyond the leases of previous owners. A reply with an unreadable row counts as none, like one with an impossible number. That a worker has answered still settles its lease, and lets it get tasks.

--- a/src/main/java/org/plantainloom/coordination/dispatch/Dispatcher.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/Dispatcher.java
@@ -307,7 +307,9 @@
     worker.pollInFlight = false;
     if (reply instanceof PollReply.Answered answered) {
       pendingCommands.addAll(reconciler.reconcile(worker, answered.snapshot(), sentMs, nowMs));
-      workers.releasePossibleTasks(worker);
+      if (answered.snapshot().listsAllEnds()) {
+        workers.releasePossibleTasks(worker);
+      }
       pendingCommands.addAll(latencyController.adjustCpuLimits(worker, nowMs));
       worker.nextPollMs = nowMs + UNPERSISTED_ENDS_POLL_DELAY_MS;
     } else if (reply instanceof PollReply.Fenced) {
--- a/src/main/java/org/plantainloom/coordination/dispatch/Placement.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/Placement.java
@@ -101,6 +101,7 @@
     return worker.registered
         && worker.isRegisteredInLife()
         && worker.persisted
+        && worker.possibleTasks.isEmpty()
         && !worker.unreachable
         && !worker.registration.draining()
         && worker.suspendedUntilMs <= nowMs
--- a/src/main/java/org/plantainloom/coordination/dispatch/Takeover.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/Takeover.java
@@ -85,8 +85,8 @@
     if (caughtUp) {
       return;
     }
-    allAnswered = workers.areAllConfirmed();
-    caughtUp = allAnswered || areLeasesOver(confirmedMs);
+    allAnswered = workers.areAllKnown();
+    caughtUp = allAnswered || (areLeasesOver(confirmedMs) && !mayKeepEnds(confirmedMs));
     if (caughtUp) {
       caughtUpMs = nowMs;
       workers.listComplete();
@@ -98,6 +98,20 @@
     }
   }
 
+  /**
+   * Returns whether a worker has answered this owner, and may keep ends of previous owners' runs
+   * that it has not listed yet. Once a lease of this owner has expired, such an end no longer
+   * counts.
+   */
+  private boolean mayKeepEnds(long confirmedMs) {
+    return workers.all().stream()
+        .anyMatch(
+            worker ->
+                worker.isConfirmed()
+                    && !WorkerTable.isKnown(worker)
+                    && !(worker.unreachable && worker.leaseExpiryMs < confirmedMs));
+  }
+
   /** Returns the part of a log line that tells why no run of a previous owner is left unknown. */
   String logText(long nowMs) {
     return " by="
@@ -110,7 +124,7 @@
   private void logUnansweredWorkers(long nowMs) {
     List<String> unanswered =
         workers.all().stream()
-            .filter(worker -> !worker.isConfirmed() && worker.possibleTasks.isEmpty())
+            .filter(worker -> !WorkerTable.isKnown(worker))
             .map(WorkerState::id)
             .toList();
     log.logDecision(
--- a/src/main/java/org/plantainloom/coordination/dispatch/WorkerLife.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/WorkerLife.java
@@ -24,6 +24,9 @@
   /** Largest sequence number of an ended run that may be acknowledged. */
   private long acknowledgedEnd;
 
+  /** Whether the worker has listed all ends that waited for an acknowledgement at some time. */
+  private boolean allEndsListed;
+
   /** Whether the worker has answered in this life and every later call was answered, too. */
   private boolean certain = true;
 
@@ -83,6 +86,19 @@
     return clockMs + (nowMs - clockReadMs);
   }
 
+  /** Handles a list of all ends that are not acknowledged. */
+  void listedAllEnds() {
+    allEndsListed = true;
+  }
+
+  /**
+   * Returns whether all runs are known that the worker has ended or runs for previous owners. A
+   * worker that has answered may still keep ends that did not fit into its list.
+   */
+  boolean hasListedAllEnds() {
+    return allEndsListed;
+  }
+
   /** Returns whether an end has not been listed before, and takes note of its number. */
   boolean isNewEnd(long number) {
     if (number <= lastEndSeen) {
--- a/src/main/java/org/plantainloom/coordination/dispatch/WorkerReconciler.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/WorkerReconciler.java
@@ -15,8 +15,9 @@
  *
  * <p>Runs that a previous owner started are adopted. Runs that should not exist are stopped. Runs
  * that were confirmed well before the poll was sent but are reported neither as running nor as
- * ended are dropped. If the worker has started again, runs that its former life has listed are
- * over; any other may have started in either life and is decided by the lists of the new one.
+ * ended are dropped, unless further ends wait beyond those listed. If the worker has started again,
+ * runs that its former life has listed are over; any other may have started in either life and is
+ * decided by the lists of the new one.
  */
 final class WorkerReconciler {
   /** A worker with a run of unknown size gets no tasks for this long; a stop takes less. */
@@ -59,7 +60,10 @@
       running.add(reported.task());
       applyRunning(worker, reported, commands, nowMs);
     }
-    dropMissing(worker, running, sentMs);
+    if (snapshot.listsAllEnds()) {
+      worker.life().listedAllEnds();
+      dropMissing(worker, running, sentMs);
+    }
     return commands;
   }
 
--- a/src/main/java/org/plantainloom/coordination/dispatch/WorkerState.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/WorkerState.java
@@ -84,8 +84,8 @@
     }
     Set<TaskKey> tasks = new LinkedHashSet<>(runs.keySet());
     possibleTasks.ifPresent(tasks::addAll);
-    // Until the first answer it is unknown what a previous owner may have started here.
-    boolean tasksKnown = isConfirmed() || possibleTasks.isPresent();
+    // Until all ends are listed it is unknown what a previous owner may have started here.
+    boolean tasksKnown = hasListedAllEnds() || possibleTasks.isPresent();
     return new FleetMember(
         registration, tasksKnown ? Optional.of(List.copyOf(tasks)) : Optional.empty());
   }
@@ -152,6 +152,11 @@
     return life.isPresent();
   }
 
+  /** Returns whether it is known what it runs, or has ended, for previous owners. */
+  boolean hasListedAllEnds() {
+    return life.filter(WorkerLife::hasListedAllEnds).isPresent();
+  }
+
   /** Returns the life in which it has answered last. */
   WorkerLife life() {
     return life.orElseThrow();
--- a/src/main/java/org/plantainloom/coordination/dispatch/WorkerTable.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/WorkerTable.java
@@ -79,9 +79,13 @@
   }
 
   /** Returns whether it is known what all workers run, or may run, for previous owners. */
-  boolean areAllConfirmed() {
-    return !listIncomplete
-        && workers.values().stream().allMatch(w -> w.isConfirmed() || w.possibleTasks.isPresent());
+  boolean areAllKnown() {
+    return !listIncomplete && workers.values().stream().allMatch(WorkerTable::isKnown);
+  }
+
+  /** Returns whether it is known what a worker runs, or may run, for previous owners. */
+  static boolean isKnown(WorkerState worker) {
+    return worker.hasListedAllEnds() || worker.possibleTasks.isPresent();
   }
 
   /** Once all jobs are restored, holds back the tasks that unreachable workers may run. */
--- a/src/main/java/org/plantainloom/platform/PlatformWorkers.java
+++ b/src/main/java/org/plantainloom/platform/PlatformWorkers.java
@@ -27,6 +27,9 @@
   /** Time that the network and a busy worker may add to the requested wait of a poll. */
   private static final long POLL_SLACK_MS = 700;
 
+  /** A worker lists no more ended runs at a time. */
+  static final int MAX_LISTED_ENDS = 500;
+
   private static final Map<String, RunOutcome> OUTCOMES =
       Map.of(
           "done", RunOutcome.DONE,
@@ -149,26 +152,30 @@
     }
     return snapshot(body.get())
         .<PollReply>map(PollReply.Answered::new)
-        .orElseGet(() -> new PollReply.Unavailable("invalid number: " + reply.summary()));
+        .orElseGet(() -> new PollReply.Unavailable("unreadable row: " + reply.summary()));
   }
 
   /**
-   * Reads a worker's state; empty if a number in it is invalid. Without the row in question, the
-   * state would tell that a run has vanished or that an end was handled.
+   * Reads a worker's state; empty if a number or a row in it is unreadable. Without the row in
+   * question, the state would tell that a run has vanished or that an end was handled.
    */
   private static Optional<WorkerSnapshot> snapshot(JsonNode body) {
     NumberReader numbers = new NumberReader();
+    JsonNode runningRows = body.path("running");
     List<ActiveRun> running = new ArrayList<>();
-    body.path("running").forEach(row -> activeRun(row, numbers).ifPresent(running::add));
+    runningRows.forEach(row -> activeRun(row, numbers).ifPresent(running::add));
+    JsonNode endedRows = body.path("finished");
     List<EndedRun> ended = new ArrayList<>();
-    body.path("finished").forEach(row -> endedRun(row, numbers).ifPresent(ended::add));
+    endedRows.forEach(row -> endedRun(row, numbers).ifPresent(ended::add));
+    boolean allRowsRead = running.size() == runningRows.size() && ended.size() == endedRows.size();
     WorkerSnapshot snapshot =
         new WorkerSnapshot(
             numbers.time(body.path("server-time-ms")),
             numbers.wholeNumber(body.path("born")),
             running,
-            ended);
-    return numbers.allValid() ? Optional.of(snapshot) : Optional.empty();
+            ended,
+            ended.size() < MAX_LISTED_ENDS);
+    return allRowsRead && numbers.allValid() ? Optional.of(snapshot) : Optional.empty();
   }
 
   private static Optional<ActiveRun> activeRun(JsonNode row, NumberReader numbers) {
--- a/src/test/java/org/plantainloom/coordination/dispatch/SimulatedWorker.java
+++ b/src/test/java/org/plantainloom/coordination/dispatch/SimulatedWorker.java
@@ -25,6 +25,9 @@
   /** The clock in its registration; earlier than the start of every simulation. */
   static final long REGISTERED_CLOCK_MS = 900_000;
 
+  /** Ends that are listed at a time. */
+  static final int MAX_LISTED_ENDS = 500;
+
   private static final double BASELINE_TAIL_MS = 4;
   private static final double DEFAULT_MEAN_LOAD = 0.42;
   private static final double DEFAULT_LOAD_AMPLITUDE = 0.21;
@@ -219,7 +222,11 @@
           reports.add(new ActiveRun(task, run.number, "", percent, recent));
         });
     return new WorkerSnapshot(
-        nowMs - clockStartMs, registration.startedAtMs(), reports, List.copyOf(ended));
+        nowMs - clockStartMs,
+        registration.startedAtMs(),
+        reports,
+        List.copyOf(ended.subList(0, Math.min(MAX_LISTED_ENDS, ended.size()))),
+        ended.size() < MAX_LISTED_ENDS);
   }
 
   /** Defines by how much a fill image disturbs a serving image. */
--- a/src/test/java/org/plantainloom/platform/PollReplyTest.java
+++ b/src/test/java/org/plantainloom/platform/PollReplyTest.java
@@ -13,6 +13,8 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicReference;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 import org.plantainloom.state.ResourceVector;
 import org.plantainloom.state.job.ActiveRun;
 import org.plantainloom.state.job.EndedRun;
@@ -81,6 +83,28 @@
         .containsExactly(tuple(58L, 3L));
   }
 
+  @Test
+  public void should_not_read_a_reply_with_an_unreadable_row() {
+    assertUnavailable(REPLY.replace("\"done\"", "\"finished\""));
+    assertUnavailable(REPLY.replace("94b36f8.0.1.9\"", "94b36f8.0.1\""));
+    assertUnavailable(REPLY.replace("94b36f8.0.1.17\"", "94b36f8.0.1\""));
+  }
+
+  @Test
+  public void should_tell_whether_the_list_of_ends_may_be_cut_off() {
+    assertThat(listsAllEnds(PlatformWorkers.MAX_LISTED_ENDS - 1)).isTrue();
+    assertThat(listsAllEnds(PlatformWorkers.MAX_LISTED_ENDS)).isFalse();
+  }
+
+  private boolean listsAllEnds(int count) {
+    String rows =
+        IntStream.rangeClosed(1, count)
+            .mapToObj(number -> "[" + number + ",\"5c0e7a21d94b36f8.0.1.9\",3,\"done\",\"\"]")
+            .collect(Collectors.joining(","));
+    PollReply reply = poll("{\"server-time-ms\":1,\"born\":7,\"finished\":[" + rows + "]}");
+    return ((PollReply.Answered) reply).snapshot().listsAllEnds();
+  }
+
   @DataProvider
   public static Object[][] impossibleNumbers() {
     return new Object[][] {
