Do not start a new job that a previous owner may have started

Callers could see a task of a job run twice at once, if the job was submitted just after a change of the owner. The store may remove the key of an owner that acts on for up to 2 s (design 0007) and still reads new jobs. Its successor took a job that it learned of after its own read for one that nobody had started, and started it at once, while the previous owner had started it on a worker that the successor had not reached yet.

Class: a permission that is assumed and not known. A job that becomes known during a takeover now waits until all known workers have answered this owner, which ends what the previous one can start, and has made its runs known; or until the leases are over. As before, a new job does not wait for workers that an unreadable list of workers may lack.

HandoverExplorationTest has the scenario SUBMISSIONS: changes of an acting owner, successors that do not reach some worker for 0.2 to 6.2 s, jobs submitted up to 2.2 s after the change, and former owners that read them.

Price: beside a worker that does not answer, jobs submitted in the first 8.5 s of a takeover wait for it, at most until the leases are over.

--- a/src/main/java/org/plantainloom/coordination/dispatch/Dispatcher.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/Dispatcher.java
@@ -103,7 +103,9 @@
   /** Handles a newly accepted job. */
   public void jobSubmitted(JobSpec spec, long nowMs) {
     if (jobs.job(spec.id()) == null && !jobs.isRetired(spec.id())) {
-      jobs.add(spec, nowMs);
+      JobState job = jobs.add(spec, nowMs);
+      // A previous owner that still acts reads new jobs, too, and may start them first.
+      job.submittedDuringTakeover = !takeover.haveKnownWorkersAnswered();
       reserve.jobAccepted(spec);
       log.logDecision(
           "job-known", spec.id(), "queue=" + spec.queue() + " phases=" + spec.phases().size());
--- a/src/main/java/org/plantainloom/coordination/dispatch/JobState.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/JobState.java
@@ -24,6 +24,9 @@
   /** Whether a previous owner may have started tasks of the job. */
   boolean inherited;
 
+  /** Whether the job became known before all workers had answered this owner. */
+  boolean submittedDuringTakeover;
+
   /** Number of changes to the progress so far. */
   long version;
 
--- a/src/main/java/org/plantainloom/coordination/dispatch/Takeover.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/Takeover.java
@@ -31,6 +31,9 @@
   /** Whether it is known what the workers run for previous owners. */
   private boolean caughtUp;
 
+  /** Whether no previous owner can start anything on a worker that this owner knows. */
+  private boolean knownWorkersAnswered;
+
   private boolean allAnswered;
   private long caughtUpMs;
   private long loggedMs;
@@ -76,6 +79,19 @@
     return caughtUp;
   }
 
+  /** Returns whether no previous owner can start anything on a worker that this owner knows. */
+  boolean haveKnownWorkersAnswered() {
+    return knownWorkersAnswered;
+  }
+
+  /** Returns whether no previous owner may have started tasks of a job that nobody has listed. */
+  boolean mayStart(JobState job) {
+    if (job.inherited) {
+      return caughtUp;
+    }
+    return knownWorkersAnswered || !job.submittedDuringTakeover;
+  }
+
   /**
    * Ends the takeover if that is due.
    *
@@ -87,6 +103,7 @@
     }
     allAnswered = workers.areAllKnown();
     caughtUp = allAnswered || (areLeasesOver(confirmedMs) && !mayKeepEnds(confirmedMs));
+    knownWorkersAnswered |= caughtUp || workers.areListedOnesKnown();
     if (caughtUp) {
       caughtUpMs = nowMs;
       workers.listComplete();
--- a/src/main/java/org/plantainloom/coordination/dispatch/TaskStarter.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/TaskStarter.java
@@ -62,7 +62,7 @@
     double lastingCpuMillis = 0;
     int smallestWaitingCpuMillis = 0;
     for (JobState job : open) {
-      if (!caughtUp && job.inherited) {
+      if (!takeover.mayStart(job)) {
         continue;
       }
       for (List<PhaseState> phases : job.occurrences) {
--- a/src/main/java/org/plantainloom/coordination/dispatch/WorkerTable.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/WorkerTable.java
@@ -80,7 +80,12 @@
 
   /** Returns whether it is known what all workers run, or may run, for previous owners. */
   boolean areAllKnown() {
-    return !listIncomplete && workers.values().stream().allMatch(WorkerTable::isKnown);
+    return !listIncomplete && areListedOnesKnown();
+  }
+
+  /** Returns the same for the workers in this table, which may lack some of previous owners. */
+  boolean areListedOnesKnown() {
+    return workers.values().stream().allMatch(WorkerTable::isKnown);
   }
 
   /** Returns whether it is known what a worker runs, or may run, for previous owners. */
--- a/src/test/java/org/plantainloom/coordination/dispatch/HandoverScenario.java
+++ b/src/test/java/org/plantainloom/coordination/dispatch/HandoverScenario.java
@@ -43,6 +43,25 @@
       return true;
     }
   },
+  /**
+   * Jobs are submitted around changes of the owner, while a former owner acts and reads the store.
+   */
+  SUBMISSIONS {
+    @Override
+    void schedule(HandoverFaults faults) {
+      faults.scheduleEarlySuccessors();
+    }
+
+    @Override
+    boolean partsSuccessors() {
+      return false;
+    }
+
+    @Override
+    boolean submitsAtHandover() {
+      return true;
+    }
+  },
   /** A worker crashes and is back under its id within seconds, also as another kind. */
   REBORN_WORKERS {
     @Override
