Hold a task back until all silent workers that may run it have answered

Callers could see a task run twice at once: a task that two silent workers may run was held back for one of them only, and started as soon as that one answered, while the other one still ran it. Stored lists name a task at two workers if its lease at the first one ended and the second one became silent under a later owner, which still inherits the first entry.

A task now knows all of these workers. HeldBackTaskTest.should_not_start_a_task_that_another_silent_worker_may_run_when_one_answers and should_start_a_task_once_while_workers_and_owners_change failed before, with two copies, and pass now.

--- a/src/main/java/org/plantainloom/coordination/dispatch/LastingTaskWaits.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/LastingTaskWaits.java
@@ -75,7 +75,7 @@
                 ? Reason.TAKEOVER
                 : placementReason(phase, serviceOf.apply(phase), workers, nowMs);
         for (TaskState task : waiting) {
-          boolean heldBack = task.possibleWorker != null;
+          boolean heldBack = !task.possibleWorkers.isEmpty();
           counts.merge(heldBack ? Reason.SILENT_WORKER : unlessHeldBack, 1, Integer::sum);
         }
         first = first.isPresent() ? first : Optional.of(waiting.get(0));
--- a/src/main/java/org/plantainloom/coordination/dispatch/TaskState.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/TaskState.java
@@ -1,8 +1,10 @@
 package org.plantainloom.coordination.dispatch;
 
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import org.plantainloom.state.job.TaskKey;
 
 /** The scheduler's view of a task. */
@@ -24,8 +26,8 @@
   /** Earliest time of the next start. */
   long notBeforeMs;
 
-  /** An unreachable worker on which a previous owner may have started the task; null for none. */
-  WorkerState possibleWorker;
+  /** Unreachable workers on which previous owners may have started the task. */
+  final Set<WorkerState> possibleWorkers = new HashSet<>(0);
 
   TaskState(TaskKey key, PhaseState phase) {
     this.key = key;
@@ -33,7 +35,7 @@
   }
 
   boolean isPending() {
-    return !done && runs.isEmpty() && possibleWorker == null;
+    return !done && runs.isEmpty() && possibleWorkers.isEmpty();
   }
 
   /** Records a failed run; returns false if it was already recorded. */
--- a/src/main/java/org/plantainloom/coordination/dispatch/WorkerTable.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/WorkerTable.java
@@ -97,7 +97,7 @@
   void holdPossibleTasks() {
     for (WorkerState worker : workers.values()) {
       worker.possibleTasks.ifPresent(
-          keys -> forEachTask(keys, task -> task.possibleWorker = worker));
+          keys -> forEachTask(keys, task -> task.possibleWorkers.add(worker)));
     }
   }
 
@@ -114,14 +114,7 @@
   /** Releases the held-back tasks of a worker that has answered or can run nothing any more. */
   void releasePossibleTasks(WorkerState worker) {
     worker.possibleTasks.ifPresent(
-        keys ->
-            forEachTask(
-                keys,
-                task -> {
-                  if (task.possibleWorker == worker) {
-                    task.possibleWorker = null;
-                  }
-                }));
+        keys -> forEachTask(keys, task -> task.possibleWorkers.remove(worker)));
     if (worker.possibleTasks.isPresent()) {
       // The stored list still limits what the worker may run to these tasks. Until that is
       // corrected, the next owner would start elsewhere what this one starts here.
--- a/src/test/java/org/plantainloom/coordination/dispatch/DispatcherSimulation.java
+++ b/src/test/java/org/plantainloom/coordination/dispatch/DispatcherSimulation.java
@@ -93,6 +93,12 @@
     return startOwner(term, config());
   }
 
+  /** Starts a new owner that reads a stored list of workers. */
+  DispatcherSimulation startOwnerWith(long term, List<FleetMember> fleet) {
+    persistedFleet = fleet;
+    return startOwner(term);
+  }
+
   private DispatcherSimulation startOwner(long term, ClusterConfig config) {
     ownership = new OwnershipLease();
     ownership.confirm(nowMs, nowMs);
