Keep the tasks of a silent worker whose ends are not stored

Callers could see a task run again after it had ended as done, with the end acknowledged later. The owner writes the list of workers before progress. If it has read an end that it cannot store yet, as the store refuses the write or is down, and the worker falls silent, the stored list says what that worker may run, without the task that has ended there. The next owner trusts the list, finds the task unfinished, and starts it elsewhere. The end is acknowledged once the worker answers.

Class: an absence in a list that may be incomplete. A silent worker is now stored with the tasks, too, whose ends have to be persisted and are not, so that the next owner waits for its answer or the end of its lease.

--- a/src/main/java/org/plantainloom/coordination/dispatch/RunLifecycle.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/RunLifecycle.java
@@ -138,6 +138,9 @@
         // The task becomes pending again.
       }
     }
+    if (outcome.mustPersist() && job.isDirty()) {
+      worker.endUnpersisted(task);
+    }
   }
 
   private void taskDone(TaskState task, long nowMs) {
--- a/src/main/java/org/plantainloom/coordination/dispatch/WorkerState.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/WorkerState.java
@@ -1,5 +1,6 @@
 package org.plantainloom.coordination.dispatch;
 
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -61,6 +62,7 @@
   long suspendedUntilMs;
   private long nextSuspensionMs = INITIAL_SUSPENSION_MS;
   final Map<TaskKey, Run> runs = new HashMap<>();
+  private final List<UnpersistedEnd> unpersistedEnds = new ArrayList<>();
   private List<ServingSlack> servingSlacks = List.of();
   private long servingSlacksComputedMs = Long.MIN_VALUE;
   private ResourceVector reserved = ResourceVector.ZERO;
@@ -68,6 +70,17 @@
   private int servingCpuMillis;
   private int lastingCpuMillis;
 
+  /**
+   * A task that ended here, of which the store does not know that.
+   *
+   * @param version version of the job that includes the end
+   */
+  private record UnpersistedEnd(TaskState task, long version) {
+    boolean isPersisted() {
+      return task.phase.job.persistedVersion >= version;
+    }
+  }
+
   WorkerState(WorkerRegistration registration, long nowMs) {
     this.registration = registration;
     this.nextPollMs = nowMs;
@@ -84,6 +97,9 @@
     }
     Set<TaskKey> tasks = new LinkedHashSet<>(runs.keySet());
     possibleTasks.ifPresent(tasks::addAll);
+    // Until their ends are stored, only this worker could tell the next owner of them.
+    unpersistedEnds.removeIf(UnpersistedEnd::isPersisted);
+    unpersistedEnds.forEach(end -> tasks.add(end.task().key));
     // Until all ends are listed it is unknown what a previous owner may have started here.
     boolean tasksKnown = hasListedAllEnds() || possibleTasks.isPresent();
     return new FleetMember(
@@ -114,6 +130,12 @@
     reserve(run, 1);
   }
 
+  /** Records the end of a run that has to be persisted with the present version of its job. */
+  void endUnpersisted(TaskState task) {
+    unpersistedEnds.removeIf(UnpersistedEnd::isPersisted);
+    unpersistedEnds.add(new UnpersistedEnd(task, task.phase.job.version));
+  }
+
   void remove(Run run) {
     if (runs.remove(run.task.key, run)) {
       reserve(run, -1);
