Wait for jobs that are not read yet before their runs are handled

Callers could see a task run again after an acknowledged end, or run twice at once: a former owner that still acts starts a job that was submitted after its successor had read the jobs. If the successor hears of that run from the worker before its watch brings the job, it acknowledged the end of a job that it did not know, or told the run to stop and kept no trace of it, and started the task anew once the job was known.

Until the leases of former owners are over, an answer is handled only up to what concerns known jobs: later ends are not acknowledged, unknown runs are not stopped, and the worker does not count as known, so that the job waits until the worker has been heard with it. Jobs that are stored but can't be restored are told apart, as their runs are to be stopped.

--- a/src/main/java/org/plantainloom/coordination/dispatch/Dispatcher.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/Dispatcher.java
@@ -13,6 +13,7 @@
 import org.plantainloom.state.job.JobStatus;
 import org.plantainloom.state.job.PollReply;
 import org.plantainloom.state.job.WorkerRegistration;
+import org.plantainloom.state.job.WorkerSnapshot;
 
 /**
  * Makes the decisions of the scheduler process that owns the workers.
@@ -100,6 +101,11 @@
     }
   }
 
+  /** Handles a stored job that cannot be restored: what runs of it is stopped. */
+  public void jobUnreadable(String jobId) {
+    jobs.unreadable(jobId);
+  }
+
   /** Handles a newly accepted job. */
   public void jobSubmitted(JobSpec spec, long nowMs) {
     if (jobs.job(spec.id()) == null && !jobs.isRetired(spec.id())) {
@@ -308,8 +314,12 @@
     }
     worker.pollInFlight = false;
     if (reply instanceof PollReply.Answered answered) {
-      pendingCommands.addAll(reconciler.reconcile(worker, answered.snapshot(), sentMs, nowMs));
-      if (answered.snapshot().listsAllEnds()) {
+      // Until then, a previous owner may have started a job that this one has not read yet.
+      WorkerSnapshot snapshot =
+          takeover.areLeasesOver(nowMs) ? answered.snapshot() : jobs.knownPart(answered.snapshot());
+      worker.hasEndsOfUnreadJobs = snapshot.ended().size() < answered.snapshot().ended().size();
+      pendingCommands.addAll(reconciler.reconcile(worker, snapshot, sentMs, nowMs));
+      if (snapshot.listsAllEnds()) {
         workers.releasePossibleTasks(worker);
       }
       pendingCommands.addAll(latencyController.adjustCpuLimits(worker, nowMs));
--- a/src/main/java/org/plantainloom/coordination/dispatch/JobTable.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/JobTable.java
@@ -3,13 +3,18 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import org.plantainloom.state.job.ActiveRun;
+import org.plantainloom.state.job.EndedRun;
 import org.plantainloom.state.job.JobSpec;
 import org.plantainloom.state.job.JobStatus;
+import org.plantainloom.state.job.TaskKey;
+import org.plantainloom.state.job.WorkerSnapshot;
 
 /** All jobs, with an index of the unfinished ones and of those with unpersisted progress. */
 final class JobTable {
@@ -18,6 +23,9 @@
   private final Set<JobState> dirty = new LinkedHashSet<>();
   private final RetiredJobs retired = new RetiredJobs();
 
+  /** Jobs that are stored, but not readable; they never become known. */
+  private final Set<String> unreadable = new HashSet<>();
+
   JobState add(JobSpec spec, long nowMs) {
     JobState job = new JobState(spec, nowMs);
     jobs.put(spec.id(), job);
@@ -29,6 +37,37 @@
     return jobs.get(id);
   }
 
+  /** Handles a stored job that cannot be restored. */
+  void unreadable(String id) {
+    unreadable.add(id);
+  }
+
+  /** Returns whether a job may be stored without being known here yet. */
+  private boolean mayBecomeKnown(TaskKey task) {
+    String id = task.jobId();
+    return !jobs.containsKey(id) && !retired.contains(id) && !unreadable.contains(id);
+  }
+
+  /**
+   * Returns the part of a worker's report that concerns known jobs, marked as incomplete if that is
+   * not all. Ends are reported up to the first one of another job, as they are acknowledged in
+   * their order.
+   */
+  WorkerSnapshot knownPart(WorkerSnapshot snapshot) {
+    List<ActiveRun> running =
+        snapshot.running().stream().filter(run -> !mayBecomeKnown(run.task())).toList();
+    List<EndedRun> ended =
+        snapshot.ended().stream().takeWhile(end -> !mayBecomeKnown(end.task())).toList();
+    boolean isWhole =
+        running.size() == snapshot.running().size() && ended.size() == snapshot.ended().size();
+    return new WorkerSnapshot(
+        snapshot.clockMs(),
+        snapshot.startedAtMs(),
+        running,
+        ended,
+        snapshot.listsAllEnds() && isWhole);
+  }
+
   /** Returns the unfinished jobs, oldest first. */
   Collection<JobState> openJobs() {
     return open.values();
--- a/src/main/java/org/plantainloom/coordination/dispatch/WorkerState.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/WorkerState.java
@@ -42,6 +42,9 @@
   /** When the lease has expired for certain, on this process's clock. */
   long leaseExpiryMs;
 
+  /** Whether its last answer listed ends that can't be handled before their jobs are read. */
+  boolean hasEndsOfUnreadJobs;
+
   boolean pollInFlight;
   long nextPollMs;
 
@@ -218,7 +221,7 @@
   }
 
   boolean hasUnacknowledgedEnds() {
-    return life.filter(WorkerLife::hasUnacknowledgedEnds).isPresent();
+    return hasEndsOfUnreadJobs || life.filter(WorkerLife::hasUnacknowledgedEnds).isPresent();
   }
 
   /**
--- a/src/main/java/org/plantainloom/transport/dispatch/OwnerSession.java
+++ b/src/main/java/org/plantainloom/transport/dispatch/OwnerSession.java
@@ -232,8 +232,7 @@
       } else {
         Optional<StoreItem> itsProgress = Optional.ofNullable(progressById.get(id.get()));
         readJob(id.get(), item.value())
-            .ifPresentOrElse(
-                spec -> restore(spec, itsProgress, now), () -> unrestoredJobs.add(id.get()));
+            .ifPresentOrElse(spec -> restore(spec, itsProgress, now), () -> doNotRestore(id.get()));
       }
     }
     cancelled.forEach(id -> dispatcher.jobCancelled(id, now));
@@ -264,10 +263,15 @@
     if (lasting) {
       dispatcher.restoreJob(spec, JobProgress.NONE, revision, now);
     } else {
-      unrestoredJobs.add(spec.id());
+      doNotRestore(spec.id());
     }
   }
 
+  private void doNotRestore(String jobId) {
+    unrestoredJobs.add(jobId);
+    dispatcher.jobUnreadable(jobId);
+  }
+
   private static Optional<JobSpec> readJob(String id, String text) {
     try {
       return Optional.of(StoredJob.parse(id, text));
--- a/src/test/java/org/plantainloom/coordination/dispatch/SimulatedWorker.java
+++ b/src/test/java/org/plantainloom/coordination/dispatch/SimulatedWorker.java
@@ -54,6 +54,10 @@
 
   boolean unreachable;
   boolean startAnswersLost;
+
+  /** Whether a run that is stopped goes on for longer than the test. */
+  boolean stopsLate;
+
   boolean failing;
   boolean stalled;
 
@@ -163,7 +167,7 @@
       return CommandReply.UNKNOWN;
     }
     SimulatedRun run = running.get(command.task());
-    if (run != null && run.number <= command.number()) {
+    if (run != null && run.number <= command.number() && !stopsLate) {
       end(command.task(), RunOutcome.STOPPED);
     }
     return CommandReply.OK;
