Suspend a worker once for starts that it refuses at one moment

A worker that is suspended is not suspended anew, so that the time doubles only if it refuses again afterwards.

--- a/src/main/java/org/plantainloom/coordination/dispatch/WorkerState.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/WorkerState.java
@@ -64,6 +64,7 @@
 
   long suspendedUntilMs;
   private long nextSuspensionMs = INITIAL_SUSPENSION_MS;
+  private long suspensionEndMs;
   final Map<TaskKey, Run> runs = new HashMap<>();
   private final List<UnpersistedEnd> unpersistedEnds = new ArrayList<>();
   private List<ServingSlack> servingSlacks = List.of();
@@ -235,6 +236,7 @@
     life = Optional.of(newLife);
     runs.values().forEach(Run::repeatStop);
     suspendedUntilMs = 0;
+    suspensionEndMs = 0;
     resetFailures();
     return over;
   }
@@ -244,10 +246,15 @@
     leaseExpiryMs = Math.max(leaseExpiryMs, nowMs + longestLeaseMs);
   }
 
+  /** Suspends the worker, unless it is: of several starts sent at once, each may be refused. */
   void suspend(long nowMs) {
-    suspendedUntilMs = nowMs + nextSuspensionMs;
-    nextSuspensionMs = Math.min(nextSuspensionMs * 2, MAX_SUSPENSION_MS);
     consecutiveFailures = 0;
+    if (nowMs < suspensionEndMs) {
+      return;
+    }
+    suspensionEndMs = nowMs + nextSuspensionMs;
+    suspendedUntilMs = Math.max(suspendedUntilMs, suspensionEndMs);
+    nextSuspensionMs = Math.min(nextSuspensionMs * 2, MAX_SUSPENSION_MS);
   }
 
   void resetFailures() {
