--- a/src/test/java/org/plantainloom/coordination/dispatch/HandoverStore.java
+++ b/src/test/java/org/plantainloom/coordination/dispatch/HandoverStore.java
@@ -16,6 +16,7 @@
 final class HandoverStore {
   /** The outcome of a write. */
   sealed interface Reply {
+    /** The changes were made. */
     record Committed(long revision) implements Reply {}
 
     /** A key was not as expected. */
