Check for each run that a task runs once, and simulate rebooting workers

Missing: the observer of the simulated workers was told tasks, not runs. The soak forgot that a task had ended as done when the report of any of its ends was lost, and could not say whether an end had been acknowledged. Workers had one clock, no zone of their own, a registration that never expired, and lists of ends without a limit.

Now a run is told with its number, worker, zone, life and fencing token, and its acknowledgement as well. The checker reports two runs at once, a start after an acknowledged end as done, and the acknowledgement of such an end after the start; each report names both runs and the owners that ordered them. A start after an end that is not acknowledged stays a violation.

A store view serves the store to one node, with other addresses in the values, and can reject that node alone. The search for events of a watch no longer goes through the whole history.

--- a/src/main/java/org/plantainloom/platform/standin/RunStatistics.java
+++ b/src/main/java/org/plantainloom/platform/standin/RunStatistics.java
@@ -14,27 +14,27 @@
   private int startsAfterCompletion;
 
   @Override
-  public synchronized void started(String task, String worker, String payload) {
+  public synchronized void started(ObservedRun run, String payload) {
     starts++;
-    if (running.put(task, worker) != null) {
+    if (running.put(run.task(), run.worker()) != null) {
       overlaps++;
     }
-    if (completed.contains(task)) {
+    if (completed.contains(run.task())) {
       startsAfterCompletion++;
     }
   }
 
   @Override
-  public synchronized void ended(String task, String worker, String outcome) {
-    running.remove(task, worker);
+  public synchronized void ended(ObservedRun run, String outcome) {
+    running.remove(run.task(), run.worker());
     if (outcome.equals("done")) {
-      completed.add(task);
+      completed.add(run.task());
     }
   }
 
   @Override
-  public synchronized void endReportLost(String task) {
-    completed.remove(task);
+  public synchronized void endReportLost(ObservedRun run) {
+    completed.remove(run.task());
   }
 
   /** Returns the number of starts of tasks. */
--- a/src/main/java/org/plantainloom/platform/standin/SimulatedPlatform.java
+++ b/src/main/java/org/plantainloom/platform/standin/SimulatedPlatform.java
@@ -42,29 +42,68 @@
   private static final String LOOPBACK = "127.0.0.1";
   private static final long EXPIRY_CHECK_INTERVAL_MS = 50;
   private static final long REGISTRATION_INTERVAL_MS = 1_000;
+  private static final long REGISTRATION_CHECK_INTERVAL_MS = 100;
+
+  /** Silence of a worker after which the store drops its registration. */
+  private static final long REGISTRATION_TTL_MS = 3_300;
+
   private static final int ZONE_COUNT = 2;
 
   private final ScheduledExecutorService timers = Executors.newScheduledThreadPool(1);
   private final SimulatedStore store = new SimulatedStore(timers);
   private Optional<RunStatistics> statistics = Optional.empty();
   private final List<SimulatedWorker> workers = new ArrayList<>();
+  private final List<Registration> registrations = new ArrayList<>();
   private final List<Server> servers = new ArrayList<>();
 
+  /** The entry of a worker in the store, which expires when the worker no longer renews it. */
+  private final class Registration {
+    private final SimulatedWorker worker;
+    private final String address;
+    private volatile boolean reachesStore = true;
+    private boolean stored;
+    private long renewedMs;
+
+    Registration(SimulatedWorker worker, String address) {
+      this.worker = worker;
+      this.address = address;
+    }
+
+    void renewOrExpire() {
+      long nowMs = System.nanoTime() / 1_000_000;
+      if (reachesStore && worker.isUp()) {
+        if (!stored || nowMs - renewedMs >= REGISTRATION_INTERVAL_MS) {
+          register(worker, address);
+          stored = true;
+          renewedMs = nowMs;
+        }
+      } else if (stored && nowMs - renewedMs >= REGISTRATION_TTL_MS) {
+        store.remove(key(worker));
+        stored = false;
+      }
+    }
+  }
+
   private SimulatedPlatform(
-      int workerCount, long taskMs, RunObserver observer, UnaryOperator<String> publishedAddress) {
+      WorkerLayout layout, RunObserver observer, UnaryOperator<String> publishedAddress) {
     servers.add(serve(store::handle));
-    for (int i = 0; i < workerCount; i++) {
-      SimulatedWorker worker = new SimulatedWorker("i-" + i, taskMs, timers, observer);
+    for (int i = 0; i < layout.workers(); i++) {
+      SimulatedWorker worker =
+          new SimulatedWorker(
+              "i-" + i,
+              WorkerLayout.zoneName(layout.zoneOf(i)),
+              layout.clock(i),
+              layout.taskMs(),
+              timers,
+              observer);
       workers.add(worker);
       Server server = serve(worker::handle);
       servers.add(server);
-      String address = publishedAddress.apply(LOOPBACK + ":" + server.activeLocalPort());
-      String zone = "zone-" + (1 + i % ZONE_COUNT);
+      String address = publishedAddress.apply(address(server));
+      Registration registration = new Registration(worker, address);
+      registrations.add(registration);
       timers.scheduleAtFixedRate(
-          () -> register(worker, address, zone),
-          0,
-          REGISTRATION_INTERVAL_MS,
-          TimeUnit.MILLISECONDS);
+          registration::renewOrExpire, 0, REGISTRATION_CHECK_INTERVAL_MS, TimeUnit.MILLISECONDS);
     }
     timers.scheduleAtFixedRate(
         store::expireLeases,
@@ -126,20 +165,34 @@
    */
   public static SimulatedPlatform start(
       int workerCount, long taskMs, RunObserver observer, UnaryOperator<String> publishedAddress) {
-    return new SimulatedPlatform(workerCount, taskMs, observer, publishedAddress);
+    return new SimulatedPlatform(
+        new WorkerLayout(workerCount, ZONE_COUNT, taskMs, false), observer, publishedAddress);
+  }
+
+  /** Starts a platform whose workers report to an observer. */
+  public static SimulatedPlatform start(WorkerLayout layout, RunObserver observer) {
+    return new SimulatedPlatform(layout, observer, UnaryOperator.identity());
+  }
+
+  private static String address(Server server) {
+    return LOOPBACK + ":" + server.activeLocalPort();
   }
 
-  private void register(SimulatedWorker worker, String address, String zone) {
+  private static String key(SimulatedWorker worker) {
+    return "servers/" + worker.id();
+  }
+
+  private void register(SimulatedWorker worker, String address) {
     store.put(
-        "servers/" + worker.id(),
+        key(worker),
         "{\"service\":\"service\",\"address\":\""
             + address
             + "\",\"zone\":\""
-            + zone
+            + worker.zone()
             + "\",\"version\":\"v1\",\"slots\":8,\"state\":\"ready\","
             + "\"capacity\":{\"cpu\":8000,\"mem-mb\":32000,\"gpu\":0},\"labels\":[\"a\",\"r1\"],"
             + "\"server-time-ms\":"
-            + SimulatedWorker.clockMs()
+            + worker.clockMs()
             + ",\"born\":"
             + worker.startedAtMs()
             + "}");
@@ -218,7 +271,26 @@
 
   /** Returns host and port of the store. */
   public String storeAddress() {
-    return LOOPBACK + ":" + servers.get(0).activeLocalPort();
+    return address(servers.get(0));
+  }
+
+  /** Opens a further address of the store, for one node. */
+  public StoreView openStoreView() {
+    StoreView view = new StoreView(store);
+    Server server = serve(view::handle);
+    servers.add(server);
+    view.listenAt(address(server));
+    return view;
+  }
+
+  /** Returns host and port that a worker registers. */
+  public String workerAddress(int worker) {
+    return registrations.get(worker).address;
+  }
+
+  /** Cuts a worker off from the store, so that its registration expires, or connects it again. */
+  public void setWorkerReachesStore(int worker, boolean reaches) {
+    registrations.get(worker).reachesStore = reaches;
   }
 
   /** Makes a worker crash and restart at once without its state. */
@@ -226,6 +298,16 @@
     workers.get(worker).crash();
   }
 
+  /** Makes a worker crash and answer nothing until it is started again. */
+  public void shutDownWorker(int worker) {
+    workers.get(worker).shutDown();
+  }
+
+  /** Starts a worker again under its id, without its state. */
+  public void bootWorker(int worker) {
+    workers.get(worker).boot();
+  }
+
   /** Returns the counts of runs; fails if the platform was started with an observer. */
   public RunStatistics statistics() {
     return statistics.orElseThrow();
--- a/src/main/java/org/plantainloom/platform/standin/SimulatedStore.java
+++ b/src/main/java/org/plantainloom/platform/standin/SimulatedStore.java
@@ -153,22 +153,27 @@
   private synchronized HttpResponse events(String prefix, long after) {
     ObjectNode body = JSON.createObjectNode();
     ArrayNode events = body.putArray("events");
-    history.stream()
-        .filter(e -> e.path("revision").asLong() > after)
+    historyAfter(after).stream()
         .filter(e -> e.path("key").asText().startsWith(prefix))
         .forEach(events::add);
     return json(HttpStatus.OK, body.put("at", revision));
   }
 
+  /** Returns the events after a revision; events are in the order of their revisions. */
+  private List<ObjectNode> historyAfter(long after) {
+    int first = history.size();
+    while (first > 0 && history.get(first - 1).path("revision").asLong() > after) {
+      first--;
+    }
+    return history.subList(first, history.size());
+  }
+
   private void completeWatches() {
     pendingWatches.removeIf(
         watch -> {
           boolean matches =
-              history.stream()
-                  .anyMatch(
-                      e ->
-                          e.path("revision").asLong() > watch.after()
-                              && e.path("key").asText().startsWith(watch.prefix()));
+              historyAfter(watch.after()).stream()
+                  .anyMatch(e -> e.path("key").asText().startsWith(watch.prefix()));
           if (matches) {
             watch.response().complete(events(watch.prefix(), watch.after()));
           }
--- a/src/main/java/org/plantainloom/platform/standin/SimulatedWorker.java
+++ b/src/main/java/org/plantainloom/platform/standin/SimulatedWorker.java
@@ -15,6 +15,8 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 
 /**
  * Simulates a worker of the platform: fencing tokens, the lease, run numbers, and polls that return
@@ -32,30 +34,65 @@
   /** Longest lease that the worker grants; longer ones are shortened. */
   private static final long MAX_LEASE_MS = 6_000;
 
+  /** Number of ended runs in one response; further ones follow once these are acknowledged. */
+  private static final int MAX_LISTED_ENDS = 500;
+
+  private static final Pattern DURATION = Pattern.compile(" for (\\d+) ms$");
+
   private final String id;
+  private final String zone;
+  private final WorkerClock clock;
   private final long taskMs;
   private final ScheduledExecutorService timers;
   private final RunObserver observer;
   private final Map<String, Run> activeRuns = new HashMap<>();
   private final Map<String, Long> highestSupersededRuns = new HashMap<>();
-  private final List<ArrayNode> endedRuns = new ArrayList<>();
+  private final List<EndedRun> endedRuns = new ArrayList<>();
   private final List<CompletableFuture<HttpResponse>> pendingPolls = new ArrayList<>();
   private long startedAtMs = System.currentTimeMillis();
   private long highestFencingToken;
   private long leaseUntilMs;
   private long lastEndNumber;
   private boolean failing;
+  private boolean up = true;
+
+  /** Rises whenever the worker is shut down. */
+  private long life;
+
+  private record Run(ObservedRun identity, long startedAtMs, long durationMs) {
+    long number() {
+      return identity.number();
+    }
+  }
 
-  private record Run(long number, long startedAtMs, int cpuPercent) {}
+  private record EndedRun(long endNumber, ObservedRun run, String outcome) {
+    ArrayNode row() {
+      return JSON.createArrayNode()
+          .add(endNumber)
+          .add(run.task())
+          .add(run.number())
+          .add(outcome)
+          .add("");
+    }
+  }
 
   /**
    * Creates a worker.
    *
-   * @param taskMs how long each task runs, in milliseconds; one whose payload begins with {@code
-   *     serve} does not end by itself
+   * @param taskMs how long each task runs, in milliseconds, unless its payload ends with another
+   *     duration, as in {@code for 500 ms}; one whose payload begins with {@code serve} does not
+   *     end by itself
    */
-  SimulatedWorker(String id, long taskMs, ScheduledExecutorService timers, RunObserver observer) {
+  SimulatedWorker(
+      String id,
+      String zone,
+      WorkerClock clock,
+      long taskMs,
+      ScheduledExecutorService timers,
+      RunObserver observer) {
     this.id = id;
+    this.zone = zone;
+    this.clock = clock;
     this.taskMs = taskMs;
     this.timers = timers;
     this.observer = observer;
@@ -70,18 +107,26 @@
     return id;
   }
 
+  String zone() {
+    return zone;
+  }
+
+  synchronized boolean isUp() {
+    return up;
+  }
+
   synchronized long startedAtMs() {
     return startedAtMs;
   }
 
   /** Returns the time of the worker's clock, in milliseconds. */
-  static long clockMs() {
-    return nowMs();
+  long clockMs() {
+    return clock.nowMs();
   }
 
   /** Loses all active and ended runs and the lease, as a restart of the worker would. */
   synchronized void crash() {
-    activeRuns.keySet().forEach(task -> observer.ended(task, id, "gone"));
+    activeRuns.values().forEach(run -> observer.ended(run.identity(), "gone"));
     reportLostEnds();
     activeRuns.clear();
     highestSupersededRuns.clear();
@@ -90,21 +135,39 @@
     leaseUntilMs = 0;
     lastEndNumber = 0;
     startedAtMs = Math.max(startedAtMs + 1, System.currentTimeMillis());
+    clock.restart();
+  }
+
+  /** Crashes, and answers nothing until {@link #boot()}. */
+  synchronized void shutDown() {
+    up = false;
+    life++;
+    pendingPolls.clear();
+    crash();
+  }
+
+  /** Starts again under the same id, without its state. */
+  synchronized void boot() {
+    crash();
+    up = true;
   }
 
   private void reportLostEnds() {
-    endedRuns.forEach(row -> observer.endReportLost(row.path(1).asText()));
+    endedRuns.forEach(ended -> observer.endReportLost(ended.run()));
   }
 
   synchronized void setFailing(boolean newFailing) {
     failing = newFailing;
   }
 
-  private static long nowMs() {
-    return System.nanoTime() / 1_000_000;
+  private long nowMs() {
+    return clock.nowMs();
   }
 
   synchronized HttpResponse handle(AggregatedHttpRequest request) throws IOException {
+    if (!up) {
+      return HttpResponse.of(new CompletableFuture<>());
+    }
     JsonNode body = JSON.readTree(request.contentUtf8());
     expireLease();
     long token = body.path("fencing-token").asLong();
@@ -135,18 +198,23 @@
       return reject("late");
     }
     extendLease(body);
-    activeRuns.put(task, new Run(runNumber, nowMs(), 100));
     String payload = body.path("spec").asText();
-    observer.started(task, id, payload);
+    Matcher duration = DURATION.matcher(payload);
+    Run run =
+        new Run(
+            new ObservedRun(task, runNumber, id, zone, startedAtMs, highestFencingToken),
+            nowMs(),
+            duration.find() ? Long.parseLong(duration.group(1)) : taskMs);
+    activeRuns.put(task, run);
+    observer.started(run.identity(), payload);
     if (!payload.startsWith("serve")) {
-      timers.schedule(() -> finish(task, runNumber), taskMs, TimeUnit.MILLISECONDS);
+      timers.schedule(() -> finish(task, run), run.durationMs(), TimeUnit.MILLISECONDS);
     }
     return ok();
   }
 
-  private synchronized void finish(String task, long runNumber) {
-    Run current = activeRuns.get(task);
-    if (current != null && current.number() == runNumber) {
+  private synchronized void finish(String task, Run run) {
+    if (run.equals(activeRuns.get(task))) {
       end(task, failing ? "failed" : "done");
     }
   }
@@ -154,14 +222,8 @@
   private void end(String task, String outcome) {
     Run current = activeRuns.remove(task);
     highestSupersededRuns.put(task, current.number());
-    observer.ended(task, id, outcome);
-    endedRuns.add(
-        JSON.createArrayNode()
-            .add(++lastEndNumber)
-            .add(task)
-            .add(current.number())
-            .add(outcome)
-            .add(""));
+    observer.ended(current.identity(), outcome);
+    endedRuns.add(new EndedRun(++lastEndNumber, current.identity(), outcome));
     pendingPolls.forEach(response -> response.complete(snapshot()));
     pendingPolls.clear();
   }
@@ -184,19 +246,35 @@
 
   private HttpResponse poll(JsonNode body) {
     extendLease(body);
-    endedRuns.removeIf(row -> row.path(0).asLong() <= body.path("last-seen").asLong());
+    acknowledgeEnds(body.path("last-seen").asLong());
     long waitMs = body.path("wait-ms").asLong();
     if (!endedRuns.isEmpty() || waitMs == 0) {
       return snapshot();
     }
     CompletableFuture<HttpResponse> response = new CompletableFuture<>();
     pendingPolls.add(response);
-    timers.schedule(() -> response.complete(synchronizedSnapshot()), waitMs, TimeUnit.MILLISECONDS);
+    long expectedLife = life;
+    timers.schedule(() -> completePoll(response, expectedLife), waitMs, TimeUnit.MILLISECONDS);
     return HttpResponse.of(response);
   }
 
-  private synchronized HttpResponse synchronizedSnapshot() {
-    return snapshot();
+  private void acknowledgeEnds(long lastSeen) {
+    endedRuns.removeIf(
+        ended -> {
+          boolean seen = ended.endNumber() <= lastSeen;
+          if (seen) {
+            observer.endAcknowledged(ended.run());
+          }
+          return seen;
+        });
+  }
+
+  /** Responds to a poll, unless the worker was shut down since then. */
+  private synchronized void completePoll(
+      CompletableFuture<HttpResponse> response, long expectedLife) {
+    if (life == expectedLife) {
+      response.complete(snapshot());
+    }
   }
 
   private HttpResponse snapshot() {
@@ -205,7 +283,8 @@
     ArrayNode rows = body.putArray("running");
     activeRuns.forEach(
         (task, run) -> {
-          long percent = Math.min(100, 100 * (nowMs() - run.startedAtMs()) / Math.max(1, taskMs));
+          long percent =
+              Math.min(100, 100 * (nowMs() - run.startedAtMs()) / Math.max(1, run.durationMs()));
           rows.add(
               JSON.createArrayNode()
                   .add(task)
@@ -214,7 +293,8 @@
                   .add(percent)
                   .add(TAIL_LATENCY_MS));
         });
-    body.putArray("finished").addAll(endedRuns);
+    body.putArray("finished")
+        .addAll(endedRuns.stream().limit(MAX_LISTED_ENDS).map(EndedRun::row).toList());
     return SimulatedStore.json(HttpStatus.OK, body);
   }
 
--- a/src/test/java/org/plantainloom/soak/InvariantChecker.java
+++ b/src/test/java/org/plantainloom/soak/InvariantChecker.java
@@ -3,10 +3,13 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
+import org.plantainloom.platform.standin.ObservedRun;
 import org.plantainloom.platform.standin.RunObserver;
 import org.plantainloom.state.job.TaskKey;
 
@@ -15,28 +18,61 @@
   /** Processor time of each simulated worker, in thousandths of a core. */
   static final int WORKER_CPU_MILLIS = 8_000;
 
+  /** Marks violations of the rule that a task runs once. */
+  static final String RAN_TWICE = "ran twice";
+
   /** A start later than this time after the job's cancellation was acknowledged is a violation. */
   private static final long CANCEL_GRACE_MS = 3_000;
 
+  private final long cancelGraceMs;
   private final Map<String, SoakJob> jobs = new HashMap<>();
-  private final Map<String, String> running = new HashMap<>();
+  private final Map<String, Set<ObservedRun>> running = new HashMap<>();
   private final Map<String, Integer> cpuInUse = new TreeMap<>();
-  private final Set<String> completed = new HashSet<>();
 
-  /** Like {@link #completed}, but keeps tasks whose end report was lost. */
+  /** Runs that ended as done, except those whose end report was lost. */
+  private final Map<String, Set<ObservedRun>> done = new HashMap<>();
+
+  private final Set<ObservedRun> acknowledged = new HashSet<>();
+
+  /** Starts after a run that ended as done, by that run, until its end is acknowledged or lost. */
+  private final Map<ObservedRun, List<ObservedRun>> startsAfterDone = new HashMap<>();
+
+  /** Tasks that were completed, including those whose end report was lost. */
   private final Set<String> everCompleted = new HashSet<>();
 
+  private final Map<Long, String> ownersByTerm = new ConcurrentHashMap<>();
   private final List<String> violations = new ArrayList<>();
   private int starts;
 
+  /** Creates a checker for nodes that are never cut off from the store for long. */
+  InvariantChecker() {
+    this(CANCEL_GRACE_MS);
+  }
+
+  /**
+   * Creates a checker.
+   *
+   * @param cancelGraceMs time after the acknowledgement of a cancellation until which a task of the
+   *     job may start
+   */
+  InvariantChecker(long cancelGraceMs) {
+    this.cancelGraceMs = cancelGraceMs;
+  }
+
   /** Registers a job before it is submitted; starts of any other job are violations. */
   synchronized void register(SoakJob job) {
     jobs.put(job.id(), job);
   }
 
+  /** Registers the owner of a term, to name it in violations. */
+  void registerOwner(long term, String node) {
+    ownersByTerm.put(term, node);
+  }
+
   @Override
-  public synchronized void started(String task, String worker, String payload) {
+  public synchronized void started(ObservedRun run, String payload) {
     starts++;
+    String task = run.task();
     TaskKey key = TaskKey.parse(task).orElseThrow();
     SoakJob job = jobs.get(key.jobId());
     if (job == null) {
@@ -46,38 +82,102 @@
     check(job.payload().equals(payload), "started with another payload: " + task);
     check(!job.rejected, "started although all submissions of its job were rejected: " + task);
     check(
-        job.cancelAcknowledgedMs == 0
-            || SoakRun.nowMs() - job.cancelAcknowledgedMs < CANCEL_GRACE_MS,
+        job.cancelAcknowledgedMs == 0 || SoakRun.nowMs() - job.cancelAcknowledgedMs < cancelGraceMs,
         "started too long after its job was cancelled: " + task);
-    String elsewhere = running.put(task, worker);
-    check(elsewhere == null, "runs on " + worker + " and on " + elsewhere + ": " + task);
-    check(!completed.contains(task), "started after it was completed: " + task);
+    checkRunsOnce(run);
     for (int i = 0; key.phase() > 0 && i < job.width(); i++) {
       String predecessor = new TaskKey(key.jobId(), 0, key.phase() - 1, i).toString();
       check(
           everCompleted.contains(predecessor),
           task + " started before " + predecessor + " was completed");
     }
-    int cpu = cpuInUse.merge(worker, job.cpuMillis(), Integer::sum);
+    int cpu = cpuInUse.merge(run.worker(), job.cpuMillis(), Integer::sum);
     check(
         cpu <= WORKER_CPU_MILLIS,
-        worker + " runs tasks that need " + cpu + " millicores, above its capacity");
+        run.worker() + " runs tasks that need " + cpu + " millicores, above its capacity");
+  }
+
+  private void checkRunsOnce(ObservedRun run) {
+    Set<ObservedRun> current = running.computeIfAbsent(run.task(), task -> new LinkedHashSet<>());
+    for (ObservedRun other : current) {
+      report(RAN_TWICE + ", two runs at once: " + describe(run) + " while " + describe(other));
+    }
+    current.add(run);
+    for (ObservedRun earlier : done.getOrDefault(run.task(), Set.of())) {
+      if (acknowledged.contains(earlier)) {
+        report(
+            RAN_TWICE
+                + ", started after an acknowledged end as done: "
+                + describe(run)
+                + " after "
+                + describe(earlier));
+      } else {
+        report(
+            "started after an end as done that is not acknowledged yet: "
+                + describe(run)
+                + " after "
+                + describe(earlier));
+        startsAfterDone.computeIfAbsent(earlier, unused -> new ArrayList<>()).add(run);
+      }
+    }
+  }
+
+  private String describe(ObservedRun run) {
+    return "["
+        + run.task()
+        + " run "
+        + run.number()
+        + " on "
+        + run.worker()
+        + " ("
+        + run.zone()
+        + ", born "
+        + run.bornMs()
+        + ") from "
+        + ownersByTerm.getOrDefault(run.fencingToken(), "an unknown node")
+        + " (term "
+        + run.fencingToken()
+        + ")]";
   }
 
   @Override
-  public synchronized void ended(String task, String worker, String outcome) {
-    running.remove(task, worker);
-    SoakJob job = jobs.get(TaskKey.parse(task).orElseThrow().jobId());
-    cpuInUse.merge(worker, job == null ? 0 : -job.cpuMillis(), Integer::sum);
+  public synchronized void ended(ObservedRun run, String outcome) {
+    Set<ObservedRun> current = running.getOrDefault(run.task(), new HashSet<>());
+    current.remove(run);
+    if (current.isEmpty()) {
+      running.remove(run.task());
+    }
+    SoakJob job = jobs.get(TaskKey.parse(run.task()).orElseThrow().jobId());
+    cpuInUse.merge(run.worker(), job == null ? 0 : -job.cpuMillis(), Integer::sum);
     if (outcome.equals("done")) {
-      completed.add(task);
-      everCompleted.add(task);
+      done.computeIfAbsent(run.task(), task -> new LinkedHashSet<>()).add(run);
+      everCompleted.add(run.task());
+    }
+  }
+
+  @Override
+  public synchronized void endAcknowledged(ObservedRun run) {
+    if (!done.getOrDefault(run.task(), Set.of()).contains(run)) {
+      return;
+    }
+    acknowledged.add(run);
+    List<ObservedRun> laterStarts = startsAfterDone.remove(run);
+    if (laterStarts != null) {
+      laterStarts.forEach(
+          later ->
+              report(
+                  RAN_TWICE
+                      + ", end as done acknowledged after the next start: "
+                      + describe(later)
+                      + " after "
+                      + describe(run)));
     }
   }
 
   @Override
-  public synchronized void endReportLost(String task) {
-    completed.remove(task);
+  public synchronized void endReportLost(ObservedRun run) {
+    done.getOrDefault(run.task(), new HashSet<>()).remove(run);
+    startsAfterDone.remove(run);
   }
 
   private void check(boolean holds, String violation) {
@@ -87,7 +187,7 @@
   }
 
   synchronized void report(String violation) {
-    violations.add(SoakRun.nowMs() + " " + violation);
+    violations.add(SoakRun.nowMs() + " " + System.currentTimeMillis() + " " + violation);
   }
 
   /** Returns the number of running tasks of a job. */
