Add a soak in which the owner is cut off, alone, with its zone, or from some workers

Missing: one proxy a worker was shared by all nodes, workers had no zone that could be cut, and nodes reached each other always.

Now PartitionSoakRun has a proxy for each path from a node to the store, to a worker and to another node's control address; a store view per node shows it the addresses of its own proxies. Four nodes and six workers stand in three zones.

The nodes' ports begin at a number that depends on the process.

--- a/src/test/java/org/plantainloom/soak/FaultProxy.java
+++ b/src/test/java/org/plantainloom/soak/FaultProxy.java
@@ -6,8 +6,12 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Predicate;
+import java.util.stream.Stream;
 
 /** TCP proxy on loopback that injects network faults on demand. */
 final class FaultProxy implements AutoCloseable {
@@ -21,14 +25,33 @@
     DELAY,
     /** Drops all bytes and leaves the connections open. */
     DROP_ALL,
+    /** Forwards responses and drops requests. */
+    DROP_REQUESTS,
     /** Forwards requests and drops responses. */
-    DROP_RESPONSES
+    DROP_RESPONSES,
+    /** Holds all bytes back until the fault ends, as the retransmission of TCP does. */
+    HOLD_ALL,
+    /** Forwards responses and holds requests back. */
+    HOLD_REQUESTS,
+    /** Forwards requests and holds responses back. */
+    HOLD_RESPONSES;
+
+    boolean drops(boolean isResponse) {
+      return this == DROP_ALL || this == (isResponse ? DROP_RESPONSES : DROP_REQUESTS);
+    }
+
+    boolean holds(boolean isResponse) {
+      return this == HOLD_ALL || this == (isResponse ? HOLD_RESPONSES : HOLD_REQUESTS);
+    }
   }
 
   private final ServerSocket server;
   private final Set<Connection> connections = ConcurrentHashMap.newKeySet();
   private volatile int targetPort;
-  private volatile Mode mode = Mode.FORWARD;
+
+  /** Modes of the faults that are active now; each of them applies. */
+  private List<Mode> modes = List.of();
+
   private volatile long delayMs;
 
   private FaultProxy(ServerSocket server) {
@@ -70,9 +93,34 @@
     return "127.0.0.1:" + server.getLocalPort();
   }
 
-  void setMode(Mode newMode, long newDelayMs) {
+  synchronized void setMode(Mode newMode, long newDelayMs) {
     delayMs = newDelayMs;
-    mode = newMode;
+    modes = List.of(newMode);
+    notifyAll();
+  }
+
+  /** Adds a fault to those that are active. */
+  synchronized void addFault(Mode mode) {
+    modes = Stream.concat(modes.stream(), Stream.of(mode)).toList();
+    notifyAll();
+  }
+
+  /** Ends one fault of those that are active. */
+  synchronized void removeFault(Mode mode) {
+    List<Mode> remaining = new ArrayList<>(modes);
+    remaining.remove(mode);
+    modes = List.copyOf(remaining);
+    notifyAll();
+  }
+
+  private synchronized boolean has(Predicate<Mode> property) {
+    return modes.stream().anyMatch(property);
+  }
+
+  private synchronized void awaitRelease(boolean isResponse) throws InterruptedException {
+    while (!server.isClosed() && has(mode -> mode.holds(isResponse))) {
+      wait();
+    }
   }
 
   /** Resets all open connections. */
@@ -128,14 +176,12 @@
       InputStream in = from.getInputStream();
       OutputStream out = to.getOutputStream();
       for (int n = in.read(buffer); n >= 0; n = in.read(buffer)) {
-        Mode currentMode = mode;
-        if (connection.blackholed
-            || currentMode == Mode.DROP_ALL
-            || (isResponse && currentMode == Mode.DROP_RESPONSES)) {
+        if (connection.blackholed || has(mode -> mode.drops(isResponse))) {
           connection.blackholed = true; // a stream with missing bytes cannot continue
           continue;
         }
-        if (currentMode == Mode.DELAY) {
+        awaitRelease(isResponse);
+        if (has(mode -> mode == Mode.DELAY)) {
           Thread.sleep(delayMs);
         }
         out.write(buffer, 0, n);
@@ -150,6 +196,7 @@
   @Override
   public void close() throws IOException {
     server.close();
+    setMode(Mode.FORWARD, 0);
     resetConnections();
   }
 }
--- /dev/null
+++ b/src/test/java/org/plantainloom/soak/FaultSchedule.java
@@ -0,0 +1,65 @@
+package org.plantainloom.soak;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/** The active faults of a run, each with the time of its end, and a log of all of them. */
+final class FaultSchedule {
+  private final List<Fault> active = new ArrayList<>();
+  private final List<String> log = new ArrayList<>();
+
+  private record Fault(String name, long endMs, Action heal) {}
+
+  /** Starts or heals a fault. */
+  @FunctionalInterface
+  interface Action {
+    void run() throws Exception;
+  }
+
+  boolean isActive(String name) {
+    return active.stream().anyMatch(fault -> fault.name().equals(name));
+  }
+
+  /** Returns when the last of the active faults ends; the present if there is none. */
+  long latestEndMs() {
+    return active.stream().mapToLong(Fault::endMs).max().orElseGet(SoakRun::nowMs);
+  }
+
+  int activeCount() {
+    return active.size();
+  }
+
+  void start(String name, long durationMs, Action start, Action heal) throws Exception {
+    record("started " + name + " for " + durationMs + " ms");
+    active.add(new Fault(name, SoakRun.nowMs() + durationMs, heal));
+    start.run();
+  }
+
+  /** Heals the faults whose time is over. */
+  void healExpired() throws Exception {
+    healUpTo(SoakRun.nowMs());
+  }
+
+  void healAll() throws Exception {
+    healUpTo(Long.MAX_VALUE);
+  }
+
+  private void healUpTo(long endMs) throws Exception {
+    for (Fault fault : List.copyOf(active)) {
+      if (fault.endMs() <= endMs) {
+        active.remove(fault);
+        record("healed " + fault.name());
+        fault.heal().run();
+      }
+    }
+  }
+
+  /** Logs an event that has no end. */
+  void record(String event) {
+    log.add(SoakRun.nowMs() + " " + System.currentTimeMillis() + " " + event);
+  }
+
+  List<String> log() {
+    return List.copyOf(log);
+  }
+}
--- a/src/test/java/org/plantainloom/soak/SoakCallers.java
+++ b/src/test/java/org/plantainloom/soak/SoakCallers.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.ToIntFunction;
 import org.plantainloom.platform.standin.SimulatedPlatform;
 
 /**
@@ -21,6 +22,10 @@
   /** Timeout of the callers on the known platforms. */
   private static final long RESPONSE_TIMEOUT_MS = 3_000;
 
+  /** Limit of the wait for accepted jobs: expiry of leases, a takeover and the backlog together. */
+  private static final long SETTLE_TIMEOUT_MS = 60_000;
+
+  private static final long SETTLE_POLL_MS = 250;
   private static final int MAX_LONG_RUNNING_JOBS = 3;
   private static final int MAX_JOB_CPU_MILLIS = 3_000;
 
@@ -28,8 +33,24 @@
   private final List<SoakJob> jobs = new ArrayList<>();
   private final InvariantChecker checker;
   private final Random random;
+  private final ToIntFunction<Random> taskMs;
 
+  /** Creates callers whose tasks run for the workers' default. */
   SoakCallers(List<SoakNode> targets, InvariantChecker checker, Random random) {
+    this(targets, checker, random, source -> 0);
+  }
+
+  /**
+   * Creates callers.
+   *
+   * @param taskMs draws how long the tasks of a job run; 0 for the workers' default
+   */
+  SoakCallers(
+      List<SoakNode> targets,
+      InvariantChecker checker,
+      Random random,
+      ToIntFunction<Random> taskMs) {
+    this.taskMs = taskMs;
     targets.forEach(node -> nodes.add(client(node)));
     this.checker = checker;
     this.random = random;
@@ -74,7 +95,8 @@
         longRunning ? 1 : 1 + random.nextInt(3),
         1 + random.nextInt(3),
         250 + random.nextInt(MAX_JOB_CPU_MILLIS / 4),
-        longRunning);
+        longRunning,
+        longRunning ? 0 : taskMs.applyAsInt(random));
   }
 
   /** Submits a job to a random node, without waiting for the response. */
@@ -113,6 +135,51 @@
         .join();
   }
 
+  /** Waits until each job is settled, and reports a violation for those that are not in time. */
+  void awaitSettled() throws InterruptedException {
+    List<SoakJob> unsettled = new ArrayList<>(jobs);
+    long end = SoakRun.nowMs() + SETTLE_TIMEOUT_MS;
+    while (!unsettled.isEmpty() && SoakRun.nowMs() < end) {
+      unsettled.removeIf(this::isSettled);
+      Thread.sleep(SETTLE_POLL_MS);
+    }
+    for (SoakJob job : unsettled) {
+      checker.report(
+          "not settled: "
+              + job.id()
+              + " accepted="
+              + job.accepted
+              + " cancelled="
+              + (job.cancelAcknowledgedMs != 0)
+              + " longRunning="
+              + job.longRunning()
+              + " running="
+              + checker.runningTasks(job.id())
+              + " state="
+              + state(job));
+    }
+  }
+
+  private boolean isSettled(SoakJob job) {
+    if (job.inFlight) {
+      return false;
+    }
+    if (!job.accepted) {
+      return true; // rejected or unanswered, so nothing is expected of it
+    }
+    String state = state(job);
+    long running = checker.runningTasks(job.id());
+    if (job.cancelRequested) {
+      boolean ended = state.contains("cancelled") || state.contains("completed");
+      return (ended || state.contains("failed")) ? running == 0 : job.cancelAcknowledgedMs == 0;
+    }
+    if (job.longRunning()) {
+      return state.contains("active") && running == job.width();
+    }
+    // A job may fail, as a failing worker may use up the attempts of a task.
+    return (state.contains("completed") || state.contains("failed")) && running == 0;
+  }
+
   private CompletableFuture<Integer> send(HttpMethod method, String id, String body) {
     return request(method, id, body)
         .handle((response, failure) -> failure == null ? response.status().code() : 0);
--- a/src/test/java/org/plantainloom/soak/SoakJob.java
+++ b/src/test/java/org/plantainloom/soak/SoakJob.java
@@ -7,6 +7,10 @@
   private final int width;
   private final int cpuMillis;
   private final boolean longRunning;
+
+  /** How long each task runs; 0 for the workers' default. */
+  private final int taskMs;
+
   volatile boolean accepted;
 
   /** Whether a submission is waiting for its response. */
@@ -23,12 +27,13 @@
 
   volatile boolean cancelRequested;
 
-  SoakJob(String id, int phases, int width, int cpuMillis, boolean longRunning) {
+  SoakJob(String id, int phases, int width, int cpuMillis, boolean longRunning, int taskMs) {
     this.id = id;
     this.phases = phases;
     this.width = width;
     this.cpuMillis = cpuMillis;
     this.longRunning = longRunning;
+    this.taskMs = taskMs;
   }
 
   String id() {
@@ -48,7 +53,8 @@
   }
 
   String payload() {
-    return (longRunning ? "serve " : "work ") + id;
+    String duration = taskMs == 0 ? "" : " for " + taskMs + " ms";
+    return (longRunning ? "serve " : "work ") + id + duration;
   }
 
   String body() {
@@ -56,7 +62,10 @@
     for (int i = 0; i < phases; i++) {
       body.append(i == 0 ? "" : ",")
           .append("{\"count\":" + width + ",\"cpu\":" + cpuMillis + ",\"mem-mb\":64")
-          .append(longRunning ? ",\"long-running\":true" : ",\"estimate-ms\":300")
+          .append(
+              longRunning
+                  ? ",\"long-running\":true"
+                  : ",\"estimate-ms\":" + (taskMs == 0 ? 300 : taskMs))
           .append(i == 0 ? "}" : ",\"after\":[" + (i - 1) + "]}");
     }
     return body.append("]}").toString();
--- /dev/null
+++ b/src/test/java/org/plantainloom/soak/SoakNetwork.java
@@ -0,0 +1,149 @@
+package org.plantainloom.soak;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.OptionalInt;
+import java.util.stream.IntStream;
+import org.plantainloom.platform.standin.SimulatedPlatform;
+import org.plantainloom.platform.standin.StoreView;
+import org.plantainloom.platform.standin.WorkerLayout;
+
+/**
+ * Nodes and workers in availability zones, with a proxy for each path from a node to the store, to
+ * a worker and to another node. The store stands in the first zone.
+ */
+final class SoakNetwork implements AutoCloseable {
+  static final int STORE_ZONE = 0;
+
+  private static final ObjectMapper JSON = new ObjectMapper();
+  private static final String OWNER_KEY = "pl/owner";
+  private static final int NODES = 4;
+  private static final WorkerLayout LAYOUT = new WorkerLayout(6, 3, 300, true);
+
+  private final InvariantChecker checker;
+  private final SimulatedPlatform platform;
+  private final List<SoakNode> nodes = new ArrayList<>();
+  private final List<StoreView> storeViews = new ArrayList<>();
+
+  /** Proxies to workers, by node and worker. */
+  private final List<List<FaultProxy>> workerProxies = new ArrayList<>();
+
+  /** Proxies to control addresses, by node and other node; that of a node to itself is unused. */
+  private final List<List<FaultProxy>> controlProxies = new ArrayList<>();
+
+  private SoakNetwork(InvariantChecker checker) {
+    this.checker = checker;
+    this.platform = SimulatedPlatform.start(LAYOUT, checker);
+  }
+
+  /** Starts the platform, the proxies and the processes of the nodes. */
+  static SoakNetwork start(Path directory, InvariantChecker checker) throws IOException {
+    SoakNetwork network = new SoakNetwork(checker);
+    network.platform.configure(1);
+    for (int i = 0; i < NODES; i++) {
+      StoreView view = network.platform.openStoreView();
+      network.storeViews.add(view);
+      network.nodes.add(new SoakNode("node-" + i, directory, port(view.address())));
+    }
+    for (int i = 0; i < NODES; i++) {
+      network.startProxies(network.storeViews.get(i));
+    }
+    for (SoakNode node : network.nodes) {
+      node.start();
+    }
+    return network;
+  }
+
+  private void startProxies(StoreView view) throws IOException {
+    List<FaultProxy> toWorkers = new ArrayList<>();
+    for (int worker = 0; worker < LAYOUT.workers(); worker++) {
+      toWorkers.add(startProxy(view, platform.workerAddress(worker)));
+    }
+    workerProxies.add(toWorkers);
+    List<FaultProxy> toNodes = new ArrayList<>();
+    for (SoakNode node : nodes) {
+      toNodes.add(startProxy(view, node.controlAddress));
+    }
+    controlProxies.add(toNodes);
+  }
+
+  private static FaultProxy startProxy(StoreView view, String address) throws IOException {
+    FaultProxy proxy = FaultProxy.start(port(address));
+    view.substitute(address, proxy.address());
+    return proxy;
+  }
+
+  private static int port(String address) {
+    return Integer.parseInt(address.substring(address.lastIndexOf(':') + 1));
+  }
+
+  SimulatedPlatform platform() {
+    return platform;
+  }
+
+  List<SoakNode> nodes() {
+    return nodes;
+  }
+
+  int workers() {
+    return LAYOUT.workers();
+  }
+
+  int zoneOfNode(int node) {
+    return (node + 1) % LAYOUT.zones();
+  }
+
+  int zoneOfWorker(int worker) {
+    return LAYOUT.zoneOf(worker);
+  }
+
+  FaultProxy storeProxy(int node) {
+    return nodes.get(node).storeProxy;
+  }
+
+  StoreView storeView(int node) {
+    return storeViews.get(node);
+  }
+
+  FaultProxy workerProxy(int node, int worker) {
+    return workerProxies.get(node).get(worker);
+  }
+
+  FaultProxy controlProxy(int node, int otherNode) {
+    return controlProxies.get(node).get(otherNode);
+  }
+
+  /** Returns the node that the owner's key names, and tells the checker its term. */
+  OptionalInt owner() throws IOException {
+    String stored = platform.storedValue(OWNER_KEY);
+    if (stored.isEmpty()) {
+      return OptionalInt.empty();
+    }
+    JsonNode owner = JSON.readTree(stored);
+    String name = owner.path("node").asText();
+    checker.registerOwner(owner.path("term").asLong(), name);
+    return IntStream.range(0, NODES).filter(i -> nodes.get(i).name.equals(name)).findFirst();
+  }
+
+  @Override
+  public void close() throws IOException {
+    for (SoakNode node : nodes) {
+      node.close();
+    }
+    for (List<FaultProxy> proxies : List.copyOf(workerProxies)) {
+      for (FaultProxy proxy : proxies) {
+        proxy.close();
+      }
+    }
+    for (List<FaultProxy> proxies : List.copyOf(controlProxies)) {
+      for (FaultProxy proxy : proxies) {
+        proxy.close();
+      }
+    }
+    platform.close();
+  }
+}
--- a/src/test/java/org/plantainloom/soak/SoakNode.java
+++ b/src/test/java/org/plantainloom/soak/SoakNode.java
@@ -23,10 +23,13 @@
           "-Dcom.linecorp.armeria.numCommonWorkers=1",
           "-Dcom.linecorp.armeria.tlsEngineType=jdk");
   private static final long STOP_TIMEOUT_S = 10;
-  private static final AtomicInteger NEXT_PORT = new AtomicInteger(20_000);
+  private static final int PORT_RANGES = 60;
+  private static final int PORTS_PER_RANGE = 200;
+  private static final AtomicInteger NEXT_PORT = new AtomicInteger(firstPort());
 
   final String name;
   final String callerAddress;
+  final String controlAddress;
   final FaultProxy storeProxy;
   private final Path settingsFile;
   private final File logFile;
@@ -37,16 +40,21 @@
     this.name = name;
     this.storeProxy = FaultProxy.start(storePort);
     this.callerAddress = "127.0.0.1:" + freePort();
+    this.controlAddress = "127.0.0.1:" + freePort();
     this.settingsFile = directory.resolve(name + ".jsonc");
     this.logFile = directory.resolve(name + ".log").toFile();
     Files.writeString(
         settingsFile,
         String.format(
             "{\"name\": \"%s\", \"callerAddress\": \"%s\", \"readinessAddress\": \"127.0.0.1:%d\","
-                + "\"controlAddress\": \"127.0.0.1:%d\", \"storeAddress\": \"%s\","
+                + "\"controlAddress\": \"%s\", \"storeAddress\": \"%s\","
                 + "\"coreShare\": 1, \"coreSpeed\": 1, \"maxLeaseMs\": 6000, \"stopGraceMs\": 400, \"stopWithinS\": 6}",
-            name, callerAddress, freePort(), freePort(), storeProxy.address()));
-    start();
+            name, callerAddress, freePort(), controlAddress, storeProxy.address()));
+  }
+
+  /** Differs between processes, so that two runs on one machine do not take each other's ports. */
+  private static int firstPort() {
+    return 20_000 + (int) (ProcessHandle.current().pid() % PORT_RANGES) * PORTS_PER_RANGE;
   }
 
   /**
@@ -107,7 +115,9 @@
   @Override
   public void close() throws IOException {
     endedByTest = true;
-    process.destroyForcibly();
+    if (process != null) {
+      process.destroyForcibly();
+    }
     storeProxy.close();
   }
 }
--- a/src/test/java/org/plantainloom/soak/SoakRun.java
+++ b/src/test/java/org/plantainloom/soak/SoakRun.java
@@ -28,10 +28,6 @@
   private static final long MIN_FAULT_MS = 200;
   private static final int MAX_FAULT_PAUSE_MS = 2_000;
 
-  /** Limit of the wait for accepted jobs: expiry of leases, a takeover and the backlog together. */
-  private static final long SETTLE_TIMEOUT_MS = 60_000;
-
-  private static final long SETTLE_POLL_MS = 250;
   private static final long START_TIMEOUT_MS = 20_000;
 
   private final Random random;
@@ -39,19 +35,10 @@
   private final List<FaultProxy> workerProxies = new ArrayList<>();
   private final SimulatedPlatform platform;
   private final List<SoakNode> nodes = new ArrayList<>();
-  private final List<Fault> activeFaults = new ArrayList<>();
-  private final List<String> faultLog = new ArrayList<>();
+  private final FaultSchedule faults = new FaultSchedule();
   private final Path directory;
   private int configVersion = 1;
 
-  private record Fault(String name, long endMs, FaultAction heal) {}
-
-  /** Starts or heals a fault. */
-  @FunctionalInterface
-  private interface FaultAction {
-    void run() throws Exception;
-  }
-
   private SoakRun(long seed, Path directory) throws Exception {
     this.random = new Random(seed);
     this.directory = directory;
@@ -59,7 +46,9 @@
     platform.configure(configVersion);
     int storePort = port(platform.storeAddress());
     for (int i = 0; i < NODES; i++) {
-      nodes.add(new SoakNode("node-" + i, directory, storePort));
+      SoakNode node = new SoakNode("node-" + i, directory, storePort);
+      nodes.add(node);
+      node.start();
     }
   }
 
@@ -97,7 +86,7 @@
     long nextFault = nowMs();
     while (nowMs() < end) {
       callers.step();
-      healExpiredFaults(nowMs());
+      faults.healExpired();
       if (nowMs() >= nextFault) {
         startRandomFault();
         nextFault = nowMs() + random.nextInt(MAX_FAULT_PAUSE_MS);
@@ -105,11 +94,11 @@
       restartExitedNodes();
       Thread.sleep(CALLER_PAUSE_MS);
     }
-    healExpiredFaults(Long.MAX_VALUE);
-    settle(callers);
+    faults.healAll();
+    callers.awaitSettled();
     List<String> violations = new ArrayList<>(checker.violations());
     if (!violations.isEmpty()) {
-      Files.write(directory.resolve("faults.log"), faultLog);
+      Files.write(directory.resolve("faults.log"), faults.log());
       Files.write(directory.resolve("broken.log"), violations);
     }
     return violations;
@@ -136,25 +125,12 @@
     }
   }
 
-  private void healExpiredFaults(long now) throws Exception {
-    for (Fault fault : List.copyOf(activeFaults)) {
-      if (fault.endMs() <= now) {
-        activeFaults.remove(fault);
-        faultLog.add(nowMs() + " healed " + fault.name());
-        fault.heal().run();
-      }
-    }
-  }
-
   /** Starts a fault, unless the same one is active. */
-  private void startFault(String name, FaultAction start, FaultAction heal) throws Exception {
-    if (activeFaults.stream().anyMatch(fault -> fault.name().equals(name))) {
-      return;
+  private void startFault(String name, FaultSchedule.Action start, FaultSchedule.Action heal)
+      throws Exception {
+    if (!faults.isActive(name)) {
+      faults.start(name, MIN_FAULT_MS + random.nextInt(FAULT_SPREAD_MS), start, heal);
     }
-    long durationMs = MIN_FAULT_MS + random.nextInt(FAULT_SPREAD_MS);
-    faultLog.add(nowMs() + " started " + name + " for " + durationMs + " ms");
-    activeFaults.add(new Fault(name, nowMs() + durationMs, heal));
-    start.run();
   }
 
   private void startRandomFault() throws Exception {
@@ -198,7 +174,7 @@
 
   private void workerFault(int worker) throws Exception {
     if (random.nextBoolean()) {
-      faultLog.add(nowMs() + " crashed worker " + worker);
+      faults.record("crashed worker " + worker);
       platform.crashWorker(worker);
     } else {
       startFault(
@@ -223,51 +199,6 @@
     }
   }
 
-  /** Waits until each job is settled, and reports a violation for those that are not in time. */
-  private void settle(SoakCallers callers) throws InterruptedException {
-    List<SoakJob> unsettled = new ArrayList<>(callers.jobs());
-    long end = nowMs() + SETTLE_TIMEOUT_MS;
-    while (!unsettled.isEmpty() && nowMs() < end) {
-      unsettled.removeIf(job -> isSettled(job, callers));
-      Thread.sleep(SETTLE_POLL_MS);
-    }
-    for (SoakJob job : unsettled) {
-      checker.report(
-          "not settled: "
-              + job.id()
-              + " accepted="
-              + job.accepted
-              + " cancelled="
-              + (job.cancelAcknowledgedMs != 0)
-              + " longRunning="
-              + job.longRunning()
-              + " running="
-              + checker.runningTasks(job.id())
-              + " state="
-              + callers.state(job));
-    }
-  }
-
-  private boolean isSettled(SoakJob job, SoakCallers callers) {
-    if (job.inFlight) {
-      return false;
-    }
-    if (!job.accepted) {
-      return true; // rejected or unanswered, so nothing is expected of it
-    }
-    String state = callers.state(job);
-    long running = checker.runningTasks(job.id());
-    if (job.cancelRequested) {
-      boolean ended = state.contains("cancelled") || state.contains("completed");
-      return (ended || state.contains("failed")) ? running == 0 : job.cancelAcknowledgedMs == 0;
-    }
-    if (job.longRunning()) {
-      return state.contains("active") && running == job.width();
-    }
-    // A job may fail, as a failing worker may use up the attempts of a task.
-    return (state.contains("completed") || state.contains("failed")) && running == 0;
-  }
-
   @Override
   public void close() throws IOException {
     for (SoakNode node : nodes) {
--- a/src/test/java/org/plantainloom/soak/SoakTest.java
+++ b/src/test/java/org/plantainloom/soak/SoakTest.java
@@ -3,7 +3,6 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
@@ -19,6 +18,7 @@
  *
  * <pre>{@code
  * mvn -B test -Dtest='SoakTest*' -Dplantainloom.soak.first=1000 -Dplantainloom.soak.seeds=50
+ * mvn -B test -Dtest='SoakTest*' -Dplantainloom.soak.partition.first=1000 -Dplantainloom.soak.partition.seeds=50
  * }</pre>
  */
 public class SoakTest {
@@ -34,33 +34,59 @@
   /** Number of parallel runs; each has three nodes of about 100 MB. */
   private static final int PARALLEL_RUNS = Integer.getInteger("plantainloom.soak.at-once", 2);
 
+  /** Seeds of runs in which the owner is cut off. */
+  private static final List<Long> PARTITION_SEEDS = List.of(1L, 2L);
+
+  private static final long PARTITION_FAULTS_MS =
+      Long.getLong("plantainloom.soak.partition.faults-ms", 30_000);
+
   private static final long FAULTS_MS = Long.getLong("plantainloom.soak.faults-ms", 15_000);
 
   @Test
   public void should_keep_all_invariants_under_random_faults() throws Exception {
-    // given
-    List<Long> seeds = new ArrayList<>(REGRESSION_SEEDS);
-    long first = Long.getLong("plantainloom.soak.first", 0);
-    for (int i = 0; i < Integer.getInteger("plantainloom.soak.seeds", 0); i++) {
+    assertHeld(runAll(seeds(REGRESSION_SEEDS, "plantainloom.soak"), SoakTest::runSeed));
+  }
+
+  @Test
+  public void should_run_each_task_once_when_the_owner_is_cut_off() throws Exception {
+    assertHeld(
+        runAll(seeds(PARTITION_SEEDS, "plantainloom.soak.partition"), SoakTest::runPartitionSeed));
+  }
+
+  /** Plays a seed, and returns its violations. */
+  @FunctionalInterface
+  private interface SeedRunner {
+    List<String> run(long seed) throws Exception;
+  }
+
+  private static List<Long> seeds(List<Long> regressionSeeds, String property) {
+    List<Long> seeds = new ArrayList<>(regressionSeeds);
+    long first = Long.getLong(property + ".first", 0);
+    for (int i = 0; i < Integer.getInteger(property + ".seeds", 0); i++) {
       seeds.add(first + i);
     }
-    // when
+    return seeds;
+  }
+
+  private static Map<Long, List<String>> runAll(List<Long> seeds, SeedRunner runner)
+      throws Exception {
     Map<Long, List<String>> violationsBySeed = new TreeMap<>();
     ExecutorService executor = Executors.newFixedThreadPool(PARALLEL_RUNS);
     try {
       Map<Long, Future<List<String>>> results = new TreeMap<>();
-      seeds.forEach(seed -> results.put(seed, executor.submit(() -> runSeed(seed))));
+      seeds.forEach(seed -> results.put(seed, executor.submit(() -> runner.run(seed))));
       for (Map.Entry<Long, Future<List<String>>> result : results.entrySet()) {
-        List<String> violations = result.getValue().get();
-        if (!violations.isEmpty()) {
-          violationsBySeed.put(result.getKey(), violations);
-        }
+        violationsBySeed.put(result.getKey(), result.getValue().get());
       }
     } finally {
       executor.shutdown();
     }
-    // then
-    assertThat(violationsBySeed).as("seeds " + Arrays.toString(seeds.toArray())).isEmpty();
+    return violationsBySeed;
+  }
+
+  private static void assertHeld(Map<Long, List<String>> violationsBySeed) {
+    assertThat(violationsBySeed)
+        .allSatisfy((seed, violations) -> assertThat(violations).as("seed " + seed).isEmpty());
   }
 
   private static List<String> runSeed(long seed) throws Exception {
@@ -70,4 +96,13 @@
       return violations;
     }
   }
+
+  private static List<String> runPartitionSeed(long seed) throws Exception {
+    try (PartitionSoakRun run = PartitionSoakRun.start(seed)) {
+      List<String> violations = run.execute(PARTITION_FAULTS_MS);
+      System.out.println(
+          "partition soak seed=" + seed + " starts=" + run.starts() + " broken=" + violations);
+      return violations;
+    }
+  }
 }
