Move the replies to commands out of Dispatcher, and log why held-back tasks start

A task that was held back for a silent worker logged earlier=unknown by=ALL_ANSWERED when it started, though the worker's lease had ended or its list did not show the run. It logs that now.

--- a/src/main/java/org/plantainloom/coordination/dispatch/Dispatcher.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/Dispatcher.java
@@ -36,9 +36,6 @@
   /** Delay before a worker that did not answer is polled again. */
   private static final long POLL_RETRY_DELAY_MS = 200;
 
-  /** Delay before a refused start is retried; a poll in between corrects the worker's state. */
-  private static final long REFUSED_START_DELAY_MS = 500;
-
   /** Delay of a poll while ended runs wait to be persisted; an earlier poll would repeat them. */
   private static final long UNPERSISTED_ENDS_POLL_DELAY_MS = 400;
 
@@ -54,6 +51,7 @@
   private final Placement placement = new Placement(interference, reserve);
   private final TaskStarter starter;
   private final StallDetector stallDetector;
+  private final CommandReplies commandReplies;
   private final WorkerTable workers;
   private final Takeover takeover;
   private final WorkerPolls polls;
@@ -88,6 +86,7 @@
             name -> config.queue(name).orElse(null));
     this.reconciler = new WorkerReconciler(jobs, runs, log, policy);
     this.stallDetector = new StallDetector(log);
+    this.commandReplies = new CommandReplies(workers, runs, log, this::markFenced);
     this.starter = new TaskStarter(policy, log, runs, placement, reserve);
   }
 
@@ -295,8 +294,9 @@
       boolean expired =
           worker.leaseExpiryMs < confirmedMs && takeover.isLeaseKnown(worker, confirmedMs);
       if (worker.unreachable && expired) {
-        runs.allRunsLost(worker, Evidence.LEASE_EXPIRED, worker.leaseExpiryMs, nowMs);
-        workers.releasePossibleTasks(worker);
+        long leaseEndMs = takeover.leaseEndMs(worker);
+        runs.allRunsLost(worker, Evidence.LEASE_EXPIRED, leaseEndMs, nowMs);
+        workers.releasePossibleTasks(worker, Evidence.LEASE_EXPIRED, leaseEndMs);
         if (!worker.registered) {
           workers.forget(worker);
         }
@@ -320,7 +320,7 @@
       worker.hasEndsOfUnreadJobs = snapshot.ended().size() < answered.snapshot().ended().size();
       pendingCommands.addAll(reconciler.reconcile(worker, snapshot, sentMs, nowMs));
       if (snapshot.listsAllEnds()) {
-        workers.releasePossibleTasks(worker);
+        workers.releasePossibleTasks(worker, Evidence.NOT_LISTED, sentMs);
       }
       pendingCommands.addAll(latencyController.adjustCpuLimits(worker, nowMs));
       worker.nextPollMs = nowMs + UNPERSISTED_ENDS_POLL_DELAY_MS;
@@ -340,79 +340,17 @@
   /** Handles the answer to a start. */
   public void startAnswered(DispatchCommand.Start start, CommandReply reply, long nowMs) {
     starter.startAnswered();
-    Run run = start.run();
-    noteDoubt(run.worker, reply);
-    if (run.worker.runs.get(run.task.key) != run) {
-      return;
-    }
-    if (reply != CommandReply.OK) {
-      log.logDecision(
-          "run-answered", run, "reply=" + reply + " afterMs=" + (nowMs - run.startSentMs));
-    }
-    switch (reply) {
-      case OK -> run.confirm(nowMs);
-      case FENCED -> markFenced(run.worker.id());
-      case UNKNOWN -> {
-        // The command may still be executed later; a stop with the same run number prevents that.
-        if (run.stage == Run.Stage.STARTING) {
-          run.stop();
-        }
-      }
-      case UNHEALTHY, MALFORMED, OTHER_INCARNATION -> {
-        run.worker.suspend(nowMs);
-        runs.drop(run, Evidence.START_REFUSED, reply.name(), nowMs);
-      }
-      case RUN_SUPERSEDED, TOO_LATE, NO_ROOM, NO_PERMIT -> {
-        run.task.notBeforeMs = nowMs + REFUSED_START_DELAY_MS;
-        runs.drop(run, Evidence.START_REFUSED, reply.name(), nowMs);
-      }
-    }
+    commandReplies.startAnswered(start, reply, nowMs);
   }
 
   /** Handles the answer to a stop. */
   public void stopAnswered(DispatchCommand.Stop stop, CommandReply reply, long nowMs) {
-    WorkerState worker = workers.get(stop.worker().id());
-    if (reply == CommandReply.FENCED) {
-      markFenced(stop.worker().id());
-    }
-    if (worker == null) {
-      return;
-    }
-    noteDoubt(worker, reply);
-    Run run = worker.runs.get(stop.task());
-    if (run == null || run.number != stop.number()) {
-      return;
-    }
-    run.stopInFlight = false;
-    if (reply == CommandReply.OK) {
-      run.stopAnsweredMs = nowMs;
-    }
+    commandReplies.stopAnswered(stop, reply, nowMs);
   }
 
   /** Handles the answer to a CPU limit. */
   public void cpuLimitAnswered(DispatchCommand.LimitCpu limit, CommandReply reply, long nowMs) {
-    WorkerState worker = workers.get(limit.worker().id());
-    if (worker == null) {
-      return;
-    }
-    noteDoubt(worker, reply);
-    Run run = worker.runs.get(limit.task());
-    if (run == null || run.number != limit.number()) {
-      return;
-    }
-    run.cpuLimitChangedMs = nowMs;
-    if (reply == CommandReply.OK) {
-      run.cpuLimitPercent = limit.percent();
-    } else {
-      run.requestedCpuLimitPercent = run.cpuLimitPercent;
-    }
-  }
-
-  /** Handles a call that the worker may not have answered: it may have started again. */
-  private static void noteDoubt(WorkerState worker, CommandReply reply) {
-    if (!reply.isFromWorker()) {
-      worker.callFailed();
-    }
+    commandReplies.cpuLimitAnswered(limit, reply, nowMs);
   }
 
   private void markFenced(String workerId) {
--- a/src/main/java/org/plantainloom/coordination/dispatch/RunConclusion.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/RunConclusion.java
@@ -6,7 +6,7 @@
  * What the owner took the last run of a task for. It is logged when the task starts again, so that
  * the log tells on whose word, and how old, a task ran twice.
  *
- * @param runNumber number of the run
+ * @param runNumber number of the run; 0 if only a former owner knew it
  * @param workerId the worker that ran it, or may have run it
  * @param outcome how the run is taken to have ended
  * @param evidence why it counts as over
@@ -20,7 +20,7 @@
   enum Evidence {
     /** The worker listed its end. */
     END_LISTED("end listed"),
-    /** The worker listed neither the run nor its end, though it had confirmed the run before. */
+    /** The worker listed neither the run nor its end, though it had, or may have, started it. */
     NOT_LISTED("not listed"),
     /** The worker confirmed a stop, and listed the run no longer. */
     STOP_CONFIRMED("stopped"),
--- a/src/main/java/org/plantainloom/coordination/dispatch/Takeover.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/Takeover.java
@@ -70,6 +70,11 @@
     return areLeasesOver(confirmedMs) || (previousOwnersKnown && worker.isConfirmed());
   }
 
+  /** Returns when the last lease that a worker may have from any owner ends. */
+  long leaseEndMs(WorkerState worker) {
+    return worker.isConfirmed() ? worker.leaseExpiryMs : leasesEndMs;
+  }
+
   boolean areLeasesOver(long nowMs) {
     return nowMs > leasesEndMs;
   }
--- a/src/main/java/org/plantainloom/coordination/dispatch/WorkerTable.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/WorkerTable.java
@@ -6,6 +6,8 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
+import org.plantainloom.coordination.dispatch.RunConclusion.Evidence;
+import org.plantainloom.state.job.RunOutcome;
 import org.plantainloom.state.job.TaskKey;
 import org.plantainloom.state.job.WorkerRegistration;
 
@@ -111,10 +113,14 @@
     }
   }
 
-  /** Releases the held-back tasks of a worker that has answered or can run nothing any more. */
-  void releasePossibleTasks(WorkerState worker) {
+  /**
+   * Releases the held-back tasks of a worker that has answered or can run nothing any more.
+   *
+   * @param evidence why the tasks that it does not list are not run by it
+   */
+  void releasePossibleTasks(WorkerState worker, Evidence evidence, long evidenceMs) {
     worker.possibleTasks.ifPresent(
-        keys -> forEachTask(keys, task -> task.possibleWorkers.remove(worker)));
+        keys -> forEachTask(keys, task -> release(task, worker, evidence, evidenceMs)));
     if (worker.possibleTasks.isPresent()) {
       // The stored list still limits what the worker may run to these tasks. Until that is
       // corrected, the next owner would start elsewhere what this one starts here.
@@ -123,6 +129,17 @@
     worker.possibleTasks = Optional.empty();
   }
 
+  private static void release(
+      TaskState task, WorkerState worker, Evidence evidence, long evidenceMs) {
+    task.possibleWorkers.remove(worker);
+    if (task.runs.isEmpty() && task.lastConclusion.isEmpty()) {
+      task.lastConclusion =
+          Optional.of(
+              new RunConclusion(
+                  task.lastRunNumber, worker.id(), RunOutcome.LOST, evidence, evidenceMs));
+    }
+  }
+
   /** Handles a new or changed registration. */
   void registered(WorkerRegistration registration, long nowMs) {
     WorkerState worker = workers.get(registration.id());
--- a/src/test/java/org/plantainloom/coordination/dispatch/HeldBackTaskTest.java
+++ b/src/test/java/org/plantainloom/coordination/dispatch/HeldBackTaskTest.java
@@ -108,6 +108,26 @@
     }
   }
 
+  @Test
+  public void should_log_that_the_lease_of_the_silent_worker_is_over_when_its_task_starts_again() {
+    // given
+    DispatcherSimulation simulation = new DispatcherSimulation(2, 8).run(100);
+    simulation.taskDurationMs = 20_000;
+    simulation.submit(JOB).run(500);
+    SimulatedWorker silent = runningOn(simulation);
+    silent.unreachable = true;
+    simulation.run(2_000);
+    // when
+    takeOver(simulation, 2).run(12_000);
+    // then
+    assertThat(simulation.log)
+        .anySatisfy(
+            line ->
+                assertThat(line)
+                    .contains("run-ordered " + FIRST + "#100001")
+                    .contains("@" + silent.registration.id() + " taken-for=LOST by=LEASE_EXPIRED"));
+  }
+
   @Test
   public void should_adopt_the_run_of_a_worker_that_was_silent_when_it_answers() {
     // given
