Log how old the owner's knowledge of the jobs is at each start

A start after an acknowledged cancelling can come from an owner that doesn't know of the cancelling, from a command that was delayed, or from a job that was stored late. No line told them apart. run-ordered now has jobsAgeMs: the time since the call was sent whose reply completed what the owner knows of the jobs, by the monotonic or the wall clock, whichever shows more.

The reading of the stored jobs moves from OwnerSession into JobListener, beside WorkerListener.

--- a/src/main/java/org/plantainloom/coordination/dispatch/Dispatcher.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/Dispatcher.java
@@ -43,6 +43,7 @@
   private final OwnershipLease ownership;
   private final long term;
   private final JobTable jobs = new JobTable();
+  private final JobsFreshness jobsFreshness = new JobsFreshness();
   private final RunLifecycle runs;
   private final WorkerReconciler reconciler;
   private final InterferenceModel interference = new InterferenceModel();
@@ -87,7 +88,7 @@
     this.reconciler = new WorkerReconciler(jobs, runs, log, policy);
     this.stallDetector = new StallDetector(log);
     this.commandReplies = new CommandReplies(workers, runs, log, this::markFenced);
-    this.starter = new TaskStarter(policy, log, runs, placement, reserve);
+    this.starter = new TaskStarter(policy, log, runs, placement, reserve, jobsFreshness);
   }
 
   /** Restores a job that was accepted before this ownership began. */
@@ -105,6 +106,16 @@
     jobs.unreadable(jobId);
   }
 
+  /**
+   * Handles that all jobs and cancellations are known which the store acknowledged before a time.
+   *
+   * @param sentMs when the call was sent whose reply completes them, on the monotonic clock
+   * @param sentWallMs the same on the wall clock
+   */
+  public void jobsKnownAsOf(long sentMs, long sentWallMs) {
+    jobsFreshness.confirm(sentMs, sentWallMs);
+  }
+
   /** Handles a newly accepted job. */
   public void jobSubmitted(JobSpec spec, long nowMs) {
     if (jobs.job(spec.id()) == null && !jobs.isRetired(spec.id())) {
--- a/src/main/java/org/plantainloom/coordination/dispatch/TaskStarter.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/TaskStarter.java
@@ -22,7 +22,9 @@
   private final Placement placement;
   private final ShortTaskReserve reserve;
   private final LastingTaskWaits lastingTaskWaits;
+  private final JobsFreshness jobsFreshness;
   private int unansweredStarts;
+  private long jobsAgeMs;
   private final PhaseRanking ranking = new PhaseRanking(ClusterConfig.UNKNOWN);
   private ClusterConfig config = ClusterConfig.UNKNOWN;
 
@@ -31,7 +33,9 @@
       DecisionLog log,
       RunLifecycle runs,
       Placement placement,
-      ShortTaskReserve reserve) {
+      ShortTaskReserve reserve,
+      JobsFreshness jobsFreshness) {
+    this.jobsFreshness = jobsFreshness;
     this.reserve = reserve;
     this.policy = policy;
     this.log = log;
@@ -57,6 +61,7 @@
       long nowMs,
       long wallMs) {
     boolean caughtUp = takeover.isCaughtUp();
+    jobsAgeMs = jobsFreshness.ageMs(nowMs, wallMs);
     List<DispatchCommand> commands = new ArrayList<>();
     List<RankedPhase> ready = new ArrayList<>();
     double lastingCpuMillis = 0;
@@ -170,6 +175,8 @@
             + worker.idleCpuMillis()
             + " runs="
             + worker.runs.size()
+            + " jobsAgeMs="
+            + jobsAgeMs
             + earlierRun(run.task, takeover, nowMs));
     StartTaskCommand command =
         new StartTaskCommand(
--- a/src/main/java/org/plantainloom/transport/dispatch/OwnerSession.java
+++ b/src/main/java/org/plantainloom/transport/dispatch/OwnerSession.java
@@ -3,12 +3,8 @@
 import com.codahale.metrics.Counter;
 import com.codahale.metrics.Timer;
 import java.util.ArrayList;
-import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -17,15 +13,10 @@
 import org.plantainloom.coordination.dispatch.DispatchCommand;
 import org.plantainloom.coordination.dispatch.Dispatcher;
 import org.plantainloom.coordination.dispatch.OwnershipLease;
-import org.plantainloom.protocol.MalformedMessageException;
-import org.plantainloom.state.job.JobProgress;
-import org.plantainloom.state.job.JobSpec;
 import org.plantainloom.state.job.JobStatus;
-import org.plantainloom.state.job.PhaseSpec;
 import org.plantainloom.state.job.PollReply;
 import org.plantainloom.state.job.WorkerRegistration;
 import org.plantainloom.state.store.ReadReply;
-import org.plantainloom.state.store.StoreEvent;
 import org.plantainloom.state.store.StoreItem;
 import org.plantainloom.transport.duty.EventLoop;
 
@@ -55,6 +46,7 @@
   private final DecisionLog decisionLog;
   private final OwnershipLease ownershipLease;
   private final Dispatcher dispatcher;
+  private final JobListener jobListener;
   private final ProgressWriter progressWriter;
   private final Optional<PreviousOwnersInquiry> previousOwnersInquiry;
   private final long fencingToken;
@@ -66,12 +58,6 @@
   private Optional<ReadReply.Found> storedJobs = Optional.empty();
   private Optional<ReadReply.Found> storedProgress = Optional.empty();
 
-  /**
-   * Jobs that could not be restored. Former owners may have run their tasks, so that they must not
-   * be taken for new jobs when their keys change.
-   */
-  private final Set<String> unrestoredJobs = new HashSet<>();
-
   private final List<Runnable> deferredReplies = new ArrayList<>();
   private int fleetSize;
   private boolean fleetLoaded;
@@ -105,6 +91,7 @@
             ownershipLease,
             decisionLog,
             NodeContext.nowMs());
+    this.jobListener = new JobListener(dispatcher, this::scheduleRound);
     this.progressWriter =
         new ProgressWriter(
             node, eventLoop, delayedExecutor, dispatcher, ownership, this::scheduleRound);
@@ -134,22 +121,31 @@
    * jobs are known.
    */
   private void load() {
-    read(StoreKeys.FLEET, this::onFleet);
+    read(StoreKeys.FLEET, (fleet, sentMs, sentWallMs) -> onFleet(fleet));
     read(
         StoreKeys.JOBS,
-        jobs -> {
+        (jobs, sentMs, sentWallMs) -> {
           storedJobs = Optional.of(jobs);
+          jobListener.onComplete(sentMs, sentWallMs);
           startWhenLoaded();
         });
     read(
         StoreKeys.PROGRESS,
-        progress -> {
+        (progress, sentMs, sentWallMs) -> {
           storedProgress = Optional.of(progress);
           startWhenLoaded();
         });
   }
 
-  private void read(String prefix, Consumer<ReadReply.Found> next) {
+  /** Receives all items with a prefix, and when the call was sent that has read them. */
+  @FunctionalInterface
+  private interface ReadListener {
+    void onRead(ReadReply.Found found, long sentMs, long sentWallMs);
+  }
+
+  private void read(String prefix, ReadListener next) {
+    long sentMs = NodeContext.nowMs();
+    long sentWallMs = NodeContext.wallMs();
     eventLoop.onResult(
         node.store().list(prefix),
         result -> {
@@ -157,7 +153,7 @@
             return;
           }
           if (result instanceof ReadReply.Found found) {
-            next.accept(found);
+            next.onRead(found, sentMs, sentWallMs);
           } else {
             delayedExecutor.schedule(
                 READ_RETRY_MS, () -> runUnlessClosed(() -> read(prefix, next)));
@@ -202,7 +198,7 @@
       return;
     }
     ReadReply.Found jobs = storedJobs.get();
-    restoreJobs(jobs.items(), storedProgress.get().items());
+    jobListener.restoreAll(jobs.items(), storedProgress.get().items());
     storedJobs = Optional.empty();
     storedProgress = Optional.empty();
     loaded = true;
@@ -213,99 +209,10 @@
     deferredReplies.forEach(Runnable::run);
     deferredReplies.clear();
     watches.add(
-        new PrefixWatch(node.store(), eventLoop, delayedExecutor, StoreKeys.JOBS, new JobListener())
+        new PrefixWatch(node.store(), eventLoop, delayedExecutor, StoreKeys.JOBS, jobListener)
             .startAfter(jobs.revision()));
   }
 
-  private void restoreJobs(List<StoreItem> jobs, List<StoreItem> progress) {
-    long now = NodeContext.nowMs();
-    Map<String, StoreItem> progressById = new HashMap<>();
-    progress.forEach(
-        item -> StoreKeys.jobId(item.key()).ifPresent(id -> progressById.put(id, item)));
-    Set<String> cancelled = new HashSet<>();
-    for (StoreItem item : jobs) {
-      Optional<String> id = StoreKeys.jobId(item.key());
-      if (id.isEmpty()) {
-        LOG.warnf("event=foreign-key key=%s", item.key());
-      } else if (StoreKeys.isCancel(item.key())) {
-        cancelled.add(id.get());
-      } else {
-        Optional<StoreItem> itsProgress = Optional.ofNullable(progressById.get(id.get()));
-        readJob(id.get(), item.value())
-            .ifPresentOrElse(spec -> restore(spec, itsProgress, now), () -> doNotRestore(id.get()));
-      }
-    }
-    cancelled.forEach(id -> dispatcher.jobCancelled(id, now));
-    dispatcher.jobsRestored();
-  }
-
-  private void restore(JobSpec spec, Optional<StoreItem> stored, long now) {
-    long revision = stored.map(StoreItem::revision).orElse(0L);
-    try {
-      JobProgress progress =
-          stored.map(item -> StoredProgress.parse(spec, item.value())).orElse(JobProgress.NONE);
-      dispatcher.restoreJob(spec, progress, revision, now);
-    } catch (MalformedMessageException e) {
-      restoreWithoutProgress(spec, revision, e.getMessage(), now);
-    }
-  }
-
-  /**
-   * Handles a job of which it is not known which tasks have finished. Tasks that last never do, so
-   * they go on. Any other task may not run again: the dispatcher does not get to know the job, and
-   * therefore stops what runs of it, as it could not store how that ends.
-   */
-  private void restoreWithoutProgress(JobSpec spec, long revision, String reason, long now) {
-    boolean lasting = spec.phases().stream().allMatch(PhaseSpec::lasting);
-    LOG.errorf(
-        "event=progress-unreadable id=%s reason=%s effect=%s",
-        spec.id(), reason, lasting ? "failures and checkpoints are lost" : "no task runs any more");
-    if (lasting) {
-      dispatcher.restoreJob(spec, JobProgress.NONE, revision, now);
-    } else {
-      doNotRestore(spec.id());
-    }
-  }
-
-  private void doNotRestore(String jobId) {
-    unrestoredJobs.add(jobId);
-    dispatcher.jobUnreadable(jobId);
-  }
-
-  private static Optional<JobSpec> readJob(String id, String text) {
-    try {
-      return Optional.of(StoredJob.parse(id, text));
-    } catch (MalformedMessageException e) {
-      LOG.errorf("event=job-unreadable id=%s reason=%s", id, e.getMessage());
-      return Optional.empty();
-    }
-  }
-
-  private final class JobListener implements PrefixWatch.Listener {
-    @Override
-    public void onSnapshot(List<StoreItem> items) {
-      PrefixWatch.forEach(items, item -> apply(item.key(), item.value()));
-    }
-
-    @Override
-    public void onChange(StoreEvent event) {
-      event.value().ifPresent(value -> apply(event.key(), value));
-    }
-
-    private void apply(String key, String value) {
-      Optional<String> id = StoreKeys.jobId(key);
-      if (id.isEmpty()) {
-        LOG.warnf("event=foreign-key key=%s", key);
-      } else if (StoreKeys.isCancel(key)) {
-        dispatcher.jobCancelled(id.get(), NodeContext.nowMs());
-      } else if (!unrestoredJobs.contains(id.get())) {
-        readJob(id.get(), value)
-            .ifPresent(spec -> dispatcher.jobSubmitted(spec, NodeContext.nowMs()));
-      }
-      scheduleRound();
-    }
-  }
-
   /** Passes the operators' configuration and the withdrawn zones to the dispatcher. */
   void clusterChanged() {
     dispatcher.configure(cluster.config(), NodeContext.nowMs());
--- a/src/main/java/org/plantainloom/transport/dispatch/PrefixWatch.java
+++ b/src/main/java/org/plantainloom/transport/dispatch/PrefixWatch.java
@@ -46,6 +46,14 @@
 
     /** Called with one change. */
     void onChange(StoreEvent event);
+
+    /**
+     * Called when all changes have been passed on that the store acknowledged before a time.
+     *
+     * @param sentMs when the call was sent whose reply completes them, on the monotonic clock
+     * @param sentWallMs the same on the wall clock
+     */
+    default void onComplete(long sentMs, long sentWallMs) {}
   }
 
   /** Runs actions on the event loop after a delay. */
@@ -99,6 +107,8 @@
   }
 
   private void list() {
+    long sentMs = NodeContext.nowMs();
+    long sentWallMs = NodeContext.wallMs();
     eventLoop.onResult(
         store.list(prefix),
         result -> {
@@ -108,6 +118,7 @@
           if (result instanceof ReadReply.Found found) {
             onReply();
             handle(prefix, () -> listener.onSnapshot(found.items()));
+            listener.onComplete(sentMs, sentWallMs);
             watch(found.revision());
           } else if (result instanceof ReadReply.Unavailable unavailable) {
             retry(unavailable.reason(), this::list);
@@ -116,6 +127,8 @@
   }
 
   private void watch(long afterRevision) {
+    long sentMs = NodeContext.nowMs();
+    long sentWallMs = NodeContext.wallMs();
     eventLoop.onResult(
         store.watch(prefix, afterRevision, MAX_WAIT_MS),
         result -> {
@@ -125,6 +138,7 @@
           if (result instanceof WatchReply.Changes changes) {
             onReply();
             changes.events().forEach(event -> handle(event.key(), () -> listener.onChange(event)));
+            listener.onComplete(sentMs, sentWallMs);
             if (batchDelayMs > 0) {
               delayedExecutor.schedule(
                   batchDelayMs, () -> runUnlessClosed(() -> watch(changes.nextRevision())));
