--- a/src/main/java/org/plantainloom/coordination/dispatch/Takeover.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/Takeover.java
@@ -17,6 +17,16 @@
   /** Workers that a line of the log names. */
   private static final int MAX_LOGGED_WORKERS = 3;
 
+  /** What tells when the previous owners stopped, at the latest. */
+  private enum StopEvidence {
+    /** They were replaced; owners of older releases are not known. */
+    TAKEOVER,
+    /** The store did not confirm them after the takeover. */
+    REPLACED,
+    /** All of them have answered. */
+    ANSWERS
+  }
+
   private final DispatchPolicy policy;
   private final WorkerTable workers;
   private final DecisionLog log;
@@ -26,6 +36,7 @@
   /** When the leases that previous owners gave have expired. */
   private long leasesEndMs;
 
+  private StopEvidence evidence = StopEvidence.TAKEOVER;
   private boolean previousOwnersKnown;
 
   /** Whether it is known what the workers run for previous owners. */
@@ -50,7 +61,7 @@
   /** Handles that the previous owners are known, and give no longer leases than this one. */
   void previousOwnersKnown() {
     previousOwnersKnown = true;
-    leasesEndMs = ownedSinceMs + policy.previousOwnerActsMs() + policy.longestLeaseMs();
+    stoppedAt(ownedSinceMs + policy.previousOwnerActsMs(), StopEvidence.REPLACED);
   }
 
   /**
@@ -58,7 +69,21 @@
    * may have acted for longer than a new owner would have waited for.
    */
   void previousOwnersStopped(long stoppedMs) {
+    stoppedAt(stoppedMs, StopEvidence.ANSWERS);
+  }
+
+  private void stoppedAt(long stoppedMs, StopEvidence newEvidence) {
     leasesEndMs = stoppedMs + policy.longestLeaseMs();
+    evidence = newEvidence;
+    log.logDecision(
+        "previous-owners-stop",
+        "fleet",
+        "evidence="
+            + evidence
+            + " stoppedAfterTakeoverMs="
+            + (stoppedMs - ownedSinceMs)
+            + " leasesEndAfterTakeoverMs="
+            + (leasesEndMs - ownedSinceMs));
   }
 
   /**
@@ -156,6 +181,8 @@
             + unanswered.size()
             + " first="
             + unanswered.subList(0, Math.min(MAX_LOGGED_WORKERS, unanswered.size()))
+            + " evidence="
+            + evidence
             + " atMostMs="
             + (leasesEndMs - nowMs));
   }
--- a/src/main/java/org/plantainloom/transport/dispatch/OwnerElection.java
+++ b/src/main/java/org/plantainloom/transport/dispatch/OwnerElection.java
@@ -344,7 +344,11 @@
                 new Ownership(record, leaseId, committed.revision(), previousOwners, validity);
             lastRenewalMs = sentMs;
             lastReadMs = sentMs;
-            LOG.infof("event=ownership-gained term=%d revision=%d", term, committed.revision());
+            LOG.infof(
+                "event=ownership-gained term=%d revision=%d previousOwners=%s",
+                term,
+                committed.revision(),
+                previousOwners.map(OwnerElection::termsOf).orElse("unknown"));
             listener.onGained(ownership);
             return;
           }
@@ -356,6 +360,10 @@
         });
   }
 
+  private static String termsOf(List<OwnerRecord> owners) {
+    return owners.stream().map(owner -> owner.node() + ":" + owner.term()).toList().toString();
+  }
+
   private static Optional<List<OwnerRecord>> previousOwners(Optional<StoreItem> stored, long term) {
     try {
       return stored.flatMap(
