Log the wait of each lasting task by reason

A line a second told how many lasting tasks waited for a takeover, a silent worker, room or the reserve for short tasks, and named one of them. It did not tell how long any one of them had waited, whether its delays had added up, nor, for a task that started, what it had waited for: so a delay of the takeover could not be told from one of the reserve, nor the wait under one owner from that under the next.

run-ordered of a lasting task now ends with its wait, split by reason, and lasting-task-delayed names the tasks that have waited for 2 s, five a second, those not named before first. Time in which the owner did not decide counts separately.

--- a/src/main/java/org/plantainloom/coordination/dispatch/LastingTaskWaits.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/LastingTaskWaits.java
@@ -1,43 +1,41 @@
 package org.plantainloom.coordination.dispatch;
 
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.EnumMap;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.function.Function;
+import org.plantainloom.coordination.dispatch.LastingTaskWait.Reason;
 
 /**
- * Says once a second why tasks that last are not running.
+ * Observes why tasks that last are not running.
  *
  * <p>A lasting task that waits is a loss of service for as long as it waits, and the reasons call
- * for different remedies. Nothing is logged while none waits.
+ * for different remedies. Once a second the log tells how many wait, and names those that wait for
+ * long; the start of a task tells its own wait. An id joins the waits under successive owners.
+ * Nothing is logged while none waits.
  */
 final class LastingTaskWaits {
+  private static final long OBSERVATION_INTERVAL_MS = 100;
   private static final long LOG_INTERVAL_MS = 1_000;
 
-  /** Why a lasting task is not running. */
-  enum Reason {
-    /** A new owner does not know yet what the workers run. */
-    TAKEOVER("takeover"),
-    /** A silent worker may run it until its lease has ended. */
-    SILENT_WORKER("silentWorker"),
-    /** Workers with room for it are kept for short tasks. */
-    RESERVED("reserved"),
-    /** No worker has room for it. */
-    NO_ROOM("noRoom"),
-    /** It is started in the next round, or it failed a moment ago. */
-    STARTING("starting");
+  /** Wait from which a task is named. */
+  private static final long LONG_WAIT_MS = 2_000;
 
-    private final String label;
+  /** Tasks that are named each time. */
+  private static final int MAX_LOGGED_TASKS = 5;
 
-    Reason(String label) {
-      this.label = label;
-    }
-  }
+  private static final Comparator<Map.Entry<TaskState, LastingTaskWait>> LONGEST_UNNAMED_FIRST =
+      Comparator.<Map.Entry<TaskState, LastingTaskWait>>comparingLong(e -> e.getValue().loggedMs())
+          .thenComparingLong(e -> e.getValue().sinceMs())
+          .thenComparing(e -> e.getKey().key.toString());
 
   private final DecisionLog log;
   private final Placement placement;
+  private Map<TaskState, LastingTaskWait> waits = new HashMap<>();
+  private long observedMs;
   private long loggedMs;
 
   LastingTaskWaits(DecisionLog log, Placement placement) {
@@ -46,42 +44,62 @@
   }
 
   /**
-   * Logs the numbers of waiting tasks by reason if that is due.
+   * Observes which tasks wait, and logs it if that is due.
    *
-   * @param caughtUp whether tasks of inherited jobs may start
+   * @param takeover tells whether tasks of inherited jobs may start
    * @param serviceOf the service on whose workers the tasks of a phase run
    */
-  void logIfDue(
+  void observeIfDue(
       Collection<JobState> open,
       Collection<WorkerState> workers,
-      boolean caughtUp,
+      Takeover takeover,
       Function<PhaseState, String> serviceOf,
       long nowMs,
       long wallMs) {
-    if (nowMs - loggedMs < LOG_INTERVAL_MS) {
+    if (nowMs - observedMs < OBSERVATION_INTERVAL_MS) {
       return;
     }
-    loggedMs = nowMs;
-    Map<Reason, Integer> counts = new EnumMap<>(Reason.class);
-    Optional<TaskState> first = Optional.empty();
+    observedMs = nowMs;
+    Map<TaskState, LastingTaskWait> waiting = new HashMap<>();
     for (JobState job : open) {
       for (PhaseState phase : job.lastingPhases()) {
-        List<TaskState> waiting = phase.isReady(wallMs) ? notRunning(phase) : List.of();
-        if (waiting.isEmpty()) {
+        List<TaskState> tasks = phase.isReady(wallMs) ? notRunning(phase) : List.of();
+        if (tasks.isEmpty()) {
           continue;
         }
         Reason unlessHeldBack =
-            !caughtUp && job.inherited
-                ? Reason.TAKEOVER
-                : placementReason(phase, serviceOf.apply(phase), workers, nowMs);
-        for (TaskState task : waiting) {
-          boolean heldBack = !task.possibleWorkers.isEmpty();
-          counts.merge(heldBack ? Reason.SILENT_WORKER : unlessHeldBack, 1, Integer::sum);
+            takeover.mayStart(job)
+                ? placementReason(phase, serviceOf.apply(phase), workers, nowMs)
+                : Reason.TAKEOVER;
+        for (TaskState task : tasks) {
+          Reason reason = task.possibleWorkers.isEmpty() ? unlessHeldBack : Reason.SILENT_WORKER;
+          waiting.put(task, observe(task, reason, nowMs));
         }
-        first = first.isPresent() ? first : Optional.of(waiting.get(0));
       }
     }
-    first.ifPresent(task -> log.logDecision("lasting-tasks-wait", task.key, describe(counts)));
+    waits = waiting;
+    if (!waits.isEmpty() && nowMs - loggedMs >= LOG_INTERVAL_MS) {
+      loggedMs = nowMs;
+      logWaits(nowMs);
+    }
+  }
+
+  private LastingTaskWait observe(TaskState task, Reason reason, long nowMs) {
+    LastingTaskWait wait = waits.get(task);
+    if (wait == null) {
+      return new LastingTaskWait(reason, nowMs);
+    }
+    wait.observe(reason, nowMs);
+    return wait;
+  }
+
+  /** Returns the part of a log line that tells how long a task has waited that is now started. */
+  String startText(TaskState task, long nowMs) {
+    if (!task.phase.spec.lasting()) {
+      return "";
+    }
+    LastingTaskWait wait = waits.remove(task);
+    return " " + (wait == null ? "waitedMs=0" : wait.logText(nowMs));
   }
 
   private static List<TaskState> notRunning(PhaseState phase) {
@@ -98,11 +116,39 @@
         : Reason.NO_ROOM;
   }
 
+  private void logWaits(long nowMs) {
+    Map<Reason, Integer> counts = new EnumMap<>(Reason.class);
+    waits.values().forEach(wait -> counts.merge(wait.reason(), 1, Integer::sum));
+    TaskState longest =
+        waits.entrySet().stream()
+            .min(Comparator.comparingLong(entry -> entry.getValue().sinceMs()))
+            .orElseThrow()
+            .getKey();
+    log.logDecision("lasting-tasks-wait", longest.key, describe(counts));
+    waits.entrySet().stream()
+        .filter(entry -> entry.getValue().waitedMs(nowMs) >= LONG_WAIT_MS)
+        .sorted(LONGEST_UNNAMED_FIRST)
+        .limit(MAX_LOGGED_TASKS)
+        .forEach(entry -> logWait(entry.getKey(), entry.getValue(), nowMs));
+  }
+
+  private void logWait(TaskState task, LastingTaskWait wait, long nowMs) {
+    String earlier = task.lastConclusion.map(last -> last.logText(nowMs)).orElse("");
+    log.logDecision(
+        "lasting-task-delayed",
+        task.key,
+        "reason=" + wait.reason().label() + " " + wait.logText(nowMs) + earlier);
+    wait.logged(nowMs);
+  }
+
   private static String describe(Map<Reason, Integer> counts) {
     StringBuilder text = new StringBuilder();
     counts.forEach(
         (reason, count) ->
-            text.append(text.isEmpty() ? "" : " ").append(reason.label).append('=').append(count));
+            text.append(text.isEmpty() ? "" : " ")
+                .append(reason.label())
+                .append('=')
+                .append(count));
     return text.toString();
   }
 }
--- a/src/main/java/org/plantainloom/coordination/dispatch/TaskStarter.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/TaskStarter.java
@@ -60,7 +60,6 @@
       Takeover takeover,
       long nowMs,
       long wallMs) {
-    boolean caughtUp = takeover.isCaughtUp();
     jobsAgeMs = jobsFreshness.ageMs(nowMs, wallMs);
     List<DispatchCommand> commands = new ArrayList<>();
     List<RankedPhase> ready = new ArrayList<>();
@@ -100,7 +99,7 @@
       }
       startPhase(next.phase(), workers, failures, commands, takeover, nowMs);
     }
-    lastingTaskWaits.logIfDue(open, workers, caughtUp, this::serviceOf, nowMs, wallMs);
+    lastingTaskWaits.observeIfDue(open, workers, takeover, this::serviceOf, nowMs, wallMs);
     return commands;
   }
 
@@ -177,6 +176,7 @@
             + worker.runs.size()
             + " jobsAgeMs="
             + jobsAgeMs
+            + lastingTaskWaits.startText(run.task, nowMs)
             + earlierRun(run.task, takeover, nowMs));
     StartTaskCommand command =
         new StartTaskCommand(
--- a/src/test/java/org/plantainloom/coordination/dispatch/LastingTaskWaitsTest.java
+++ b/src/test/java/org/plantainloom/coordination/dispatch/LastingTaskWaitsTest.java
@@ -6,6 +6,7 @@
 import static org.plantainloom.coordination.dispatch.DispatcherSimulation.tasks;
 
 import java.util.List;
+import java.util.regex.Pattern;
 import org.plantainloom.state.job.JobProgress;
 import org.plantainloom.state.job.JobSpec;
 import org.testng.annotations.Test;
@@ -14,6 +15,9 @@
 public class LastingTaskWaitsTest {
   private static final String ID = "00000000000000aa";
 
+  /** Time, event and subject of a line; the subject is the group. */
+  private static final Pattern LINE = Pattern.compile("\\S+ \\S+ (\\S+) .*");
+
   private static List<String> waits(DispatcherSimulation simulation) {
     return simulation.log.stream().filter(line -> line.contains("lasting-tasks-wait")).toList();
   }
@@ -98,4 +102,68 @@
     // then
     assertThat(waits(simulation)).anyMatch(line -> line.endsWith("silentWorker=1"));
   }
+
+  private static List<String> lines(DispatcherSimulation simulation, String event) {
+    return simulation.log.stream().filter(line -> line.contains(" " + event + " ")).toList();
+  }
+
+  private static String subject(String line) {
+    return LINE.matcher(line).replaceFirst("$1");
+  }
+
+  @Test
+  public void should_tell_at_the_start_how_long_each_reason_delayed_the_task() {
+    // given: a lost worker delays the takeover, and then no other worker has room
+    DispatcherSimulation simulation = new DispatcherSimulation(2, 8).run(100);
+    JobSpec blocking = job("00000000000000bb", "urgent", serving(1, 8_000, ""));
+    JobSpec job = job(ID, "urgent", serving(1, 8_000, ""));
+    simulation.submit(blocking).run(500).submit(job).run(500);
+    SimulatedWorker lost =
+        simulation.workers.stream()
+            .filter(w -> w.running.keySet().stream().anyMatch(key -> key.jobId().equals(ID)))
+            .findFirst()
+            .orElseThrow();
+    lost.unreachable = true;
+    lost.running.clear();
+    simulation.startOwner(2);
+    simulation.dispatcher.restoreJob(blocking, JobProgress.NONE, 0, simulation.nowMs);
+    simulation.dispatcher.restoreJob(job, JobProgress.NONE, 0, simulation.nowMs);
+    simulation.dispatcher.jobsRestored();
+    simulation.run(10_000);
+    // when
+    simulation.dispatcher.jobCancelled(blocking.id(), simulation.nowMs);
+    simulation.run(1_000);
+    // then
+    assertThat(lines(simulation, "run-ordered"))
+        .last()
+        .asString()
+        .contains(ID)
+        .matches(".* waitedMs=\\d{5} takeoverMs=\\d{4} noRoomMs=\\d{4} .*earlier=.*");
+  }
+
+  @Test
+  public void should_name_each_task_that_waits_for_long_at_a_bounded_rate() {
+    // given
+    DispatcherSimulation simulation = new DispatcherSimulation(1, 8).run(100);
+    // when
+    simulation.submit(job(ID, "urgent", serving(20, 1_000, ""))).run(6_500);
+    // then
+    List<String> delayed = lines(simulation, "lasting-task-delayed");
+    assertThat(delayed).hasSizeLessThanOrEqualTo(25).allMatch(l -> l.contains("reason=noRoom"));
+    assertThat(delayed.stream().map(LastingTaskWaitsTest::subject).distinct()).hasSize(12);
+  }
+
+  @Test
+  public void should_name_a_task_that_waits_for_long_under_the_next_owner_too() {
+    // given
+    DispatcherSimulation simulation = new DispatcherSimulation(1, 8).run(100);
+    JobSpec job = job(ID, "urgent", serving(9, 1_000, ""));
+    simulation.submit(job).run(4_000);
+    simulation.log.clear();
+    // when
+    takeOver(simulation, job);
+    simulation.run(2_000);
+    // then
+    assertThat(lines(simulation, "lasting-task-delayed")).anyMatch(line -> line.contains(ID));
+  }
 }
