Count a job as pending until a worker has begun it

Cause: ordering a start made a job active, and a refused start left it so. A job now becomes active when a worker has confirmed or listed a run of it, or has listed its end; an order alone says nothing about the worker.

--- a/src/main/java/org/plantainloom/coordination/dispatch/CommandReplies.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/CommandReplies.java
@@ -43,7 +43,7 @@
           "run-answered", run, "reply=" + reply + " afterMs=" + (nowMs - run.startSentMs));
     }
     switch (reply) {
-      case OK -> run.confirm(nowMs);
+      case OK -> runs.confirm(run, nowMs);
       case FENCED -> fencedListener.accept(run.worker.id());
       case UNKNOWN -> {
         // The command may still be executed later; a stop with the same run number prevents that.
--- a/src/main/java/org/plantainloom/coordination/dispatch/RunLifecycle.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/RunLifecycle.java
@@ -49,11 +49,21 @@
     task.lastRunNumber = Math.max(task.lastRunNumber, number);
     task.runs.add(run);
     worker.add(run);
+    return run;
+  }
+
+  /** Handles that a worker has confirmed or listed a run. */
+  void confirm(Run run, long nowMs) {
+    run.confirm(nowMs);
+    markBegun(run.task);
+  }
+
+  /** A job has begun once a worker has; the order of a start may be refused. */
+  private static void markBegun(TaskState task) {
     JobState job = task.phase.job;
     if (job.status == JobStatus.QUEUED) {
       job.status = JobStatus.ACTIVE;
     }
-    return run;
   }
 
   private static void forget(Run run) {
@@ -121,6 +131,9 @@
   private void applyEnd(
       TaskState task, long number, WorkerState worker, RunOutcome outcome, long nowMs) {
     JobState job = task.phase.job;
+    if (outcome != RunOutcome.LOST) {
+      markBegun(task);
+    }
     switch (outcome) {
       case DONE -> {
         worker.resetFailures();
--- a/src/main/java/org/plantainloom/coordination/dispatch/TaskStarter.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/TaskStarter.java
@@ -4,7 +4,6 @@
 import java.util.Collection;
 import java.util.List;
 import org.plantainloom.state.job.ClusterConfig;
-import org.plantainloom.state.job.JobStatus;
 import org.plantainloom.state.job.StartTaskCommand;
 
 /** Starts ready tasks in the order of {@link PhaseRanking}, as far as workers have room. */
@@ -121,12 +120,10 @@
       List<DispatchCommand> commands,
       Takeover takeover,
       long nowMs) {
-    JobState job = phase.job;
     String service = serviceOf(phase);
     if (failures.covers(phase, service)) {
       return;
     }
-    JobStatus previousStatus = job.status;
     List<Run> started = new ArrayList<>();
     List<TaskState> waiting = phase.waitingTasks(nowMs);
     long gangNumber = waiting.stream().mapToLong(runs::nextNumber).max().orElse(1);
@@ -149,7 +146,6 @@
     }
     if (phase.spec.gang() && started.size() < waiting.size()) {
       started.forEach(run -> runs.withdraw(run, "gang does not fit"));
-      job.status = previousStatus;
       return;
     }
     unansweredStarts += started.size();
--- a/src/main/java/org/plantainloom/coordination/dispatch/WorkerReconciler.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/WorkerReconciler.java
@@ -124,7 +124,7 @@
         return;
       }
     }
-    run.confirm(nowMs);
+    runs.confirm(run, nowMs);
     run.reportProgress(reported.percent(), nowMs);
     run.recentMeasurement = reported.recentMeasurement();
     if (!reported.checkpoint().isEmpty()) {
@@ -155,7 +155,7 @@
     boolean wanted = !job.isFinished() && task.isPendingUnlessOn(worker);
     log.logDecision(wanted ? "run-adopted" : "run-unwanted", subject, "job=" + job.status);
     Run run = runs.begin(task, worker, reported.run(), nowMs);
-    run.confirm(nowMs);
+    runs.confirm(run, nowMs);
     if (!wanted) {
       run.stop();
     }
