Repeat an overdue watch call instead of waiting for its timeout

The owner's watch of the jobs held each call for 1.5 s, noticed a lost reply after 2.3 s and could wait 1 s more before the next call: 3.3 s without news, while the owner's key was confirmed. The watch of the jobs now holds calls for 0.5 s. Each change is passed on once, whichever call tells it first; replies to calls from before a list are ignored. Other watches keep their timing.

--- a/src/main/java/org/plantainloom/transport/dispatch/OwnerSession.java
+++ b/src/main/java/org/plantainloom/transport/dispatch/OwnerSession.java
@@ -210,6 +210,7 @@
     deferredReplies.clear();
     watches.add(
         new PrefixWatch(node.store(), eventLoop, delayedExecutor, StoreKeys.JOBS, jobListener)
+            .hedged()
             .startAfter(jobs.revision()));
   }
 
--- a/src/main/java/org/plantainloom/transport/dispatch/PrefixWatch.java
+++ b/src/main/java/org/plantainloom/transport/dispatch/PrefixWatch.java
@@ -1,6 +1,7 @@
 package org.plantainloom.transport.dispatch;
 
 import java.util.List;
+import java.util.Optional;
 import java.util.function.Consumer;
 import org.jboss.logging.Logger;
 import org.plantainloom.state.store.ReadReply;
@@ -17,14 +18,42 @@
 final class PrefixWatch {
   private static final Logger LOG = Logger.getLogger(PrefixWatch.class);
 
-  /**
-   * Longest time that the store may hold a watch call open. A dead connection is detected after
-   * this time plus the client's own timeout margin.
-   */
-  private static final long MAX_WAIT_MS = 1_500;
+  /** How long the store may hold calls, and when they are repeated. */
+  private enum Timing {
+    /**
+     * A dead connection is detected after the wait plus the client's own timeout margin. Most
+     * watches are not urgent, and calls to the store are charged for.
+     */
+    PLAIN(1_500, 1_500, 1_000),
+
+    /** A repeated call is answered at once, so that it tells soonest what was missed. */
+    HEDGED(500, 0, 250) {
+      @Override
+      Optional<Long> overdueMs(long callWaitMs) {
+        return Optional.of(callWaitMs + SLOW_REPLY_MS);
+      }
+    };
+
+    /** A slow store takes no longer than this beyond the wait. */
+    private static final long SLOW_REPLY_MS = 300;
+
+    private final long waitMs;
+    private final long repeatedWaitMs;
+    private final long maxRetryMs;
+
+    Timing(long waitMs, long repeatedWaitMs, long maxRetryMs) {
+      this.waitMs = waitMs;
+      this.repeatedWaitMs = repeatedWaitMs;
+      this.maxRetryMs = maxRetryMs;
+    }
+
+    /** Returns after which time a call is repeated although it may still be answered. */
+    Optional<Long> overdueMs(long callWaitMs) {
+      return Optional.empty();
+    }
+  }
 
   private static final long FIRST_RETRY_MS = 100;
-  private static final long MAX_RETRY_MS = 1_000;
 
   private final TransactionalStore store;
   private final EventLoop eventLoop;
@@ -32,7 +61,22 @@
   private final Listener listener;
   private final DelayedExecutor delayedExecutor;
   private long batchDelayMs;
+  private Timing timing = Timing.PLAIN;
   private long retryMs = FIRST_RETRY_MS;
+
+  /** The revision up to which all changes have been passed on. */
+  private long position;
+
+  private long nextCall = 1;
+
+  private long lastAnsweredCall;
+
+  /** The last call that was not a repetition; replies to earlier ones bring no further call. */
+  private long lastPoll;
+
+  /** Replies to earlier calls are ignored. */
+  private long firstValidCall = 1;
+
   private boolean disconnected;
   private boolean closed;
 
@@ -91,6 +135,16 @@
     return this;
   }
 
+  /**
+   * Sends further calls while the reply to a call is overdue, and retries sooner, so that one lost
+   * reply holds up no change for as long as a timeout. The first reply counts; what a later one
+   * tells is known by then.
+   */
+  PrefixWatch hedged() {
+    timing = Timing.HEDGED;
+    return this;
+  }
+
   PrefixWatch start() {
     list();
     return this;
@@ -98,7 +152,8 @@
 
   /** Starts watching after a revision at which the caller has read the keys itself. */
   PrefixWatch startAfter(long revision) {
-    watch(revision);
+    position = revision;
+    repeat();
     return this;
   }
 
@@ -107,6 +162,8 @@
   }
 
   private void list() {
+    // Replies to calls that were sent before the list may be older than its items.
+    firstValidCall = nextCall;
     long sentMs = NodeContext.nowMs();
     long sentWallMs = NodeContext.wallMs();
     eventLoop.onResult(
@@ -119,39 +176,88 @@
             onReply();
             handle(prefix, () -> listener.onSnapshot(found.items()));
             listener.onComplete(sentMs, sentWallMs);
-            watch(found.revision());
+            position = found.revision();
+            poll();
           } else if (result instanceof ReadReply.Unavailable unavailable) {
-            retry(unavailable.reason(), this::list);
+            onFailure(unavailable.reason());
+            scheduleRetry(this::list);
           }
         });
   }
 
-  private void watch(long afterRevision) {
+  private void poll() {
+    lastPoll = nextCall;
+    watch(timing.waitMs);
+  }
+
+  private void repeat() {
+    watch(timing.repeatedWaitMs);
+  }
+
+  private void watch(long waitMs) {
+    long call = nextCall++;
     long sentMs = NodeContext.nowMs();
     long sentWallMs = NodeContext.wallMs();
+    long afterRevision = position;
     eventLoop.onResult(
-        store.watch(prefix, afterRevision, MAX_WAIT_MS),
+        store.watch(prefix, afterRevision, waitMs),
         result -> {
-          if (closed) {
+          if (closed || call < firstValidCall) {
             return;
           }
           if (result instanceof WatchReply.Changes changes) {
             onReply();
-            changes.events().forEach(event -> handle(event.key(), () -> listener.onChange(event)));
+            lastAnsweredCall = Math.max(lastAnsweredCall, call);
+            apply(changes);
             listener.onComplete(sentMs, sentWallMs);
-            if (batchDelayMs > 0) {
-              delayedExecutor.schedule(
-                  batchDelayMs, () -> runUnlessClosed(() -> watch(changes.nextRevision())));
-            } else {
-              watch(changes.nextRevision());
-            }
+            pollAfterReply(call);
           } else if (result instanceof WatchReply.HistoryLost) {
             LOG.infof("event=watch-history-lost prefix=%s after=%d", prefix, afterRevision);
             list();
           } else if (result instanceof WatchReply.Unavailable unavailable) {
-            retry(unavailable.reason(), () -> watch(afterRevision));
+            if (call > lastAnsweredCall) {
+              onFailure(unavailable.reason());
+              scheduleRetry(() -> repeatIfUnanswered(call));
+            }
           }
         });
+    timing
+        .overdueMs(waitMs)
+        .ifPresent(delayMs -> delayedExecutor.schedule(delayMs, () -> repeatIfUnanswered(call)));
+  }
+
+  /** Repeats a call that has no reply, unless a later call has been sent. */
+  private void repeatIfUnanswered(long call) {
+    if (!closed && call >= firstValidCall && call > lastAnsweredCall && call == nextCall - 1) {
+      repeat();
+    }
+  }
+
+  /** Passes on the changes that no earlier reply has told. */
+  private void apply(WatchReply.Changes changes) {
+    long known = position;
+    changes.events().stream()
+        .filter(event -> event.revision() > known)
+        .forEach(event -> handle(event.key(), () -> listener.onChange(event)));
+    position = Math.max(position, changes.nextRevision());
+  }
+
+  private void pollAfterReply(long call) {
+    if (call < lastPoll) {
+      return;
+    }
+    if (batchDelayMs > 0) {
+      long next = nextCall;
+      delayedExecutor.schedule(
+          batchDelayMs,
+          () -> {
+            if (!closed && next == nextCall) {
+              poll();
+            }
+          });
+    } else {
+      poll();
+    }
   }
 
   /**
@@ -182,13 +288,16 @@
     retryMs = FIRST_RETRY_MS;
   }
 
-  private void retry(String reason, Runnable action) {
+  private void onFailure(String reason) {
     if (!disconnected) {
       LOG.warnf("event=watch-lost prefix=%s reason=%s", prefix, reason);
       disconnected = true;
     }
+  }
+
+  private void scheduleRetry(Runnable action) {
     delayedExecutor.schedule(retryMs, () -> runUnlessClosed(action));
-    retryMs = Math.min(retryMs * 2, MAX_RETRY_MS);
+    retryMs = Math.min(retryMs * 2, timing.maxRetryMs);
   }
 
   private void runUnlessClosed(Runnable action) {
