Start no task while the knowledge of the jobs is older than 1.3 s

Callers saw a task start more than 3 s after the cancelling of its job was acknowledged. An owner confirms its key each 0.5 s, but nothing bounded the age of what it knew of the jobs: a watch whose replies were lost or refused left it without news for seconds, or for as long as that lasted, and a takeover could go on with jobs that were listed long before the fleet.

--- a/src/main/java/org/plantainloom/coordination/dispatch/Dispatcher.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/Dispatcher.java
@@ -43,7 +43,7 @@
   private final OwnershipLease ownership;
   private final long term;
   private final JobTable jobs = new JobTable();
-  private final JobsFreshness jobsFreshness = new JobsFreshness();
+  private final JobsFreshness jobsFreshness;
   private final RunLifecycle runs;
   private final WorkerReconciler reconciler;
   private final InterferenceModel interference = new InterferenceModel();
@@ -76,6 +76,7 @@
     this.log = log;
     this.ownership = ownership;
     this.term = term;
+    this.jobsFreshness = new JobsFreshness(log);
     this.workers = new WorkerTable(jobs, log);
     this.polls = new WorkerPolls(policy, ownership);
     this.takeover = new Takeover(policy, workers, log, nowMs);
@@ -264,7 +265,7 @@
   /**
    * Detects expired leases and stalled runs, starts ready tasks, and returns the commands that are
    * due now. Returns nothing once this owner is fenced, and only polls and stops while the store
-   * does not confirm the ownership.
+   * does not confirm the ownership. Starts nothing while its knowledge of the jobs is outdated.
    */
   public List<DispatchCommand> decide(long nowMs, long wallMs) {
     List<DispatchCommand> commands = new ArrayList<>(pendingCommands);
@@ -275,7 +276,9 @@
     expireLeases(nowMs);
     if (mayAct(nowMs, wallMs)) {
       stallDetector.stopStalledRuns(workers.all(), nowMs);
-      commands.addAll(starter.start(jobs.openJobs(), workers.all(), takeover, nowMs, wallMs));
+      if (jobsFreshness.mayStart(nowMs, wallMs)) {
+        commands.addAll(starter.start(jobs.openJobs(), workers.all(), takeover, nowMs, wallMs));
+      }
     }
     for (WorkerState worker : workers.all()) {
       RunStops.addDue(worker, commands, nowMs);
--- a/src/test/java/org/plantainloom/coordination/dispatch/DispatcherSimulation.java
+++ b/src/test/java/org/plantainloom/coordination/dispatch/DispatcherSimulation.java
@@ -41,6 +41,9 @@
   /** Whether the store confirms the ownership of the current owner. */
   boolean storeReachable = true;
 
+  /** Whether the owner gets replies to its watch of the jobs. */
+  boolean watchAnswered = true;
+
   long nowMs = 1_000_000;
   Dispatcher dispatcher;
   private OwnershipLease ownership;
@@ -181,6 +184,9 @@
       workers.forEach(worker -> worker.advance(nowMs, STEP_MS, disturbance));
       if (storeReachable) {
         ownership.confirm(nowMs, nowMs);
+        if (watchAnswered) {
+          dispatcher.jobsKnownAsOf(nowMs, nowMs);
+        }
       }
       answerPolls();
       persist();
--- a/src/test/java/org/plantainloom/coordination/dispatch/HandoverOwner.java
+++ b/src/test/java/org/plantainloom/coordination/dispatch/HandoverOwner.java
@@ -53,6 +53,7 @@
     }
     knownJobs = store.jobs().size();
     dispatcher.jobsRestored();
+    dispatcher.jobsKnownAsOf(time(), time());
   }
 
   int term() {
@@ -138,6 +139,7 @@
   }
 
   private void readJobs() {
+    dispatcher.jobsKnownAsOf(time() - watchDelayMs, time() - watchDelayMs);
     List<JobSpec> jobs = simulation.store().jobs();
     while (knownJobs < jobs.size()) {
       JobSpec job = jobs.get(knownJobs++);
