Keep a job that was cancelled before it was stored from being accepted

Callers whose submission got no reply cancelled the job, were answered 410, and saw it run seconds later: the store carried the submission out after the cancellation had found no job and left nothing behind.

A cancellation that finds no job now stores its key, provided that the job's key is absent, and answers 410 only then. A submission requires both keys absent, so that a late one has no effect; if only the cancellation is there, it is answered 410, as the job never runs. A cancellation that finds a job at another revision is repeated at that one instead of answered 410. The owner remembers cancellations of unknown jobs in whichever order they arrive, never starts such a job, and removes them with the finished jobs.

--- a/src/main/java/org/plantainloom/coordination/dispatch/Dispatcher.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/Dispatcher.java
@@ -126,13 +126,21 @@
       reserve.jobAccepted(spec);
       log.logDecision(
           "job-known", spec.id(), "queue=" + spec.queue() + " phases=" + spec.phases().size());
+      if (jobs.takeCancellation(spec.id())) {
+        jobCancelled(spec.id(), nowMs);
+      }
     }
   }
 
-  /** Handles the cancellation of a job: its runs are stopped. */
+  /**
+   * Handles the cancellation of a job: its runs are stopped. A job that is not known yet never
+   * runs.
+   */
   public void jobCancelled(String jobId, long nowMs) {
     JobState job = jobs.job(jobId);
-    if (job != null && !job.isFinished()) {
+    if (job == null) {
+      jobs.cancelledBeforeStored(jobId, nowMs);
+    } else if (!job.isFinished()) {
       log.logDecision("job-cancelled", jobId, "status=" + job.status);
       runs.endJob(job, JobStatus.CANCELLED, nowMs);
     }
--- a/src/main/java/org/plantainloom/coordination/dispatch/JobTable.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/JobTable.java
@@ -26,6 +26,9 @@
   /** Jobs that are stored, but not readable; they never become known. */
   private final Set<String> unreadable = new HashSet<>();
 
+  /** When cancellations of jobs that are not stored became known; such a job never runs. */
+  private final Map<String, Long> cancelledBeforeStored = new LinkedHashMap<>();
+
   JobState add(JobSpec spec, long nowMs) {
     JobState job = new JobState(spec, nowMs);
     jobs.put(spec.id(), job);
@@ -42,6 +45,18 @@
     unreadable.add(id);
   }
 
+  /** Handles the cancellation of a job that is not known. */
+  void cancelledBeforeStored(String id, long nowMs) {
+    if (!retired.contains(id) && !unreadable.contains(id)) {
+      cancelledBeforeStored.putIfAbsent(id, nowMs);
+    }
+  }
+
+  /** Returns whether a job was cancelled before it became known, and forgets that. */
+  boolean takeCancellation(String id) {
+    return cancelledBeforeStored.remove(id) != null;
+  }
+
   /** Returns whether a job may be stored without being known here yet. */
   private boolean mayBecomeKnown(TaskKey task) {
     String id = task.jobId();
@@ -130,11 +145,18 @@
   }
 
   /**
-   * Forgets jobs that finished before a time, and returns up to {@code limit} ids of jobs to remove
-   * from the store, including those of earlier calls until {@link #removed} confirms them.
+   * Forgets jobs that finished, or were cancelled without being stored, before a time. Returns up
+   * to {@code limit} ids of jobs to remove from the store, including those of earlier calls until
+   * {@link #removed} confirms them.
    */
   List<String> retire(long finishedBeforeMs, int limit) {
     List<String> ids = retired.unconfirmed(limit);
+    cancelledBeforeStored.forEach(
+        (id, cancelledMs) -> {
+          if (ids.size() < limit && cancelledMs < finishedBeforeMs) {
+            ids.add(id);
+          }
+        });
     for (JobState job : jobs.values()) {
       if (ids.size() < limit
           && job.isFinished()
@@ -144,7 +166,7 @@
       }
     }
     for (String id : ids) {
-      if (jobs.remove(id) != null) {
+      if (jobs.remove(id) != null || takeCancellation(id)) {
         retired.add(id);
       }
     }
--- a/src/main/java/org/plantainloom/transport/dispatch/GuardedStore.java
+++ b/src/main/java/org/plantainloom/transport/dispatch/GuardedStore.java
@@ -47,13 +47,20 @@
         : store.read(key).thenApply(this::recordRead);
   }
 
+  CompletableFuture<ReadReply> list(String prefix) {
+    Optional<String> refusal = admit();
+    return refusal.isPresent()
+        ? CompletableFuture.completedFuture(new ReadReply.Unavailable(refusal.get()))
+        : store.list(prefix).thenApply(this::recordRead);
+  }
+
   /**
-   * Reads back a key whose write got no reply, even while the store serves no other call: a lost
-   * reply alone does not mean that the store is unavailable. Waits only briefly for it.
+   * Reads back keys of which a write got no reply, even while the store serves no other call: a
+   * lost reply alone does not mean that the store is unavailable. Waits only briefly for it.
    */
-  CompletableFuture<ReadReply> readBack(String key) {
+  CompletableFuture<ReadReply> listBack(String prefix) {
     return store
-        .read(key)
+        .list(prefix)
         .thenApply(this::recordRead)
         .completeOnTimeout(
             new ReadReply.Unavailable("not read back in time"),
--- a/src/main/java/org/plantainloom/transport/dispatch/JobRegistry.java
+++ b/src/main/java/org/plantainloom/transport/dispatch/JobRegistry.java
@@ -23,6 +23,9 @@
 final class JobRegistry {
   private static final Logger LOG = Logger.getLogger(JobRegistry.class);
 
+  /** Jobs are written once, so that a second conflict is not expected. */
+  private static final int MAX_CANCEL_ATTEMPTS = 3;
+
   private final GuardedStore store;
   private final MetricRegistry metrics;
   private final Timer submitTimer;
@@ -43,10 +46,17 @@
     store.probeIfDue(nowMs);
   }
 
-  /** Stores a job under its id; submitting the same id again has no further effect. */
+  /**
+   * Stores a job under its id; submitting the same id again has no further effect. A job that was
+   * cancelled before it was stored is not accepted any more.
+   */
   CompletableFuture<JobReply> submit(JobSpec spec) {
     String key = StoreKeys.job(spec.id());
-    Transaction transaction = Transaction.start().expectAbsent(key).write(key, Json.write(spec));
+    Transaction transaction =
+        Transaction.start()
+            .expectAbsent(key)
+            .expectAbsent(StoreKeys.cancel(spec.id()))
+            .write(key, Json.write(spec));
     Timer.Context timing = submitTimer.time();
     return store
         .commit(transaction)
@@ -56,7 +66,7 @@
               if (reply instanceof CommitReply.Committed committed) {
                 return succeed(spec.id(), "accepted", "revision=" + committed.revision());
               } else if (reply instanceof CommitReply.Conflict conflict) {
-                return acceptIfStored(spec, conflict.current(), "repeated=true");
+                return replyByItems(spec, conflict.current(), "repeated=true");
               } else if (reply instanceof CommitReply.Refused refused) {
                 return fail(spec.id(), JobReply.UNAVAILABLE, refused.reason());
               } else {
@@ -68,68 +78,105 @@
   /** Checks whether a write that got no reply has taken effect. */
   private CompletableFuture<JobReply> verifySubmission(JobSpec spec) {
     return store
-        .readBack(StoreKeys.job(spec.id()))
+        .listBack(StoreKeys.job(spec.id()))
         .thenCompose(
             read ->
                 read instanceof ReadReply.Found found
-                    ? acceptIfStored(spec, found.items(), "readBack=true")
+                    ? replyByItems(spec, found.items(), "readBack=true")
                     : fail(spec.id(), JobReply.UNKNOWN, "no reply from the store"));
   }
 
   /**
-   * Replies to a submission by what its key holds. If that is not readable, the job may have been
+   * Replies to a submission by what the store holds. If the job is not readable, it may have been
    * accepted before the damage, or never.
    */
-  private CompletableFuture<JobReply> acceptIfStored(
+  private CompletableFuture<JobReply> replyByItems(
       JobSpec spec, List<StoreItem> current, String detail) {
-    Optional<StoreItem> stored =
-        current.stream().filter(item -> item.key().equals(StoreKeys.job(spec.id()))).findFirst();
-    if (stored.isEmpty()) {
-      return fail(spec.id(), JobReply.UNKNOWN, "no reply from the store");
+    JobItems items = JobItems.of(spec.id(), current);
+    if (items.job().isEmpty()) {
+      return items.cancellation().isPresent()
+          ? fail(spec.id(), JobReply.NO_SUCH_JOB, "submit: " + cancelledBefore(items))
+          : fail(spec.id(), JobReply.UNKNOWN, "no reply from the store");
     }
     try {
-      StoredJob.parse(spec.id(), stored.get().value());
+      StoredJob.parse(spec.id(), items.job().get().value());
     } catch (MalformedMessageException e) {
       return fail(spec.id(), JobReply.UNKNOWN, "submit: " + e.getMessage());
     }
     return succeed(spec.id(), "accepted", detail);
   }
 
+  /**
+   * Cancels a job. If it is not stored, a cancellation is stored all the same: the submission may
+   * still be on its way, and must not be accepted after the reply that there is no such job.
+   */
   CompletableFuture<JobReply> cancel(String jobId) {
     return store
-        .read(StoreKeys.job(jobId))
+        .list(StoreKeys.job(jobId))
         .thenCompose(
             read -> {
               if (!(read instanceof ReadReply.Found found)) {
                 return fail(jobId, JobReply.UNAVAILABLE, "cancel: " + read);
               }
-              Optional<StoreItem> job = found.items().stream().findFirst();
-              return job.isEmpty()
-                  ? fail(jobId, JobReply.NO_SUCH_JOB, "cancel: the store has no such job")
-                  : cancel(jobId, job.get().revision());
+              JobItems items = JobItems.of(jobId, found.items());
+              return items.job().isEmpty() && items.cancellation().isPresent()
+                  ? fail(jobId, JobReply.NO_SUCH_JOB, "cancel: " + cancelledBefore(items))
+                  : cancel(jobId, items.job(), MAX_CANCEL_ATTEMPTS);
             });
   }
 
-  private CompletableFuture<JobReply> cancel(String jobId, long jobRevision) {
+  private static String cancelledBefore(JobItems items) {
+    return "the store holds a cancellation revision="
+        + items.cancellation().map(StoreItem::revision).orElse(0L)
+        + " and no job";
+  }
+
+  /** Stores a cancellation if the job is still as it was read. */
+  private CompletableFuture<JobReply> cancel(
+      String jobId, Optional<StoreItem> job, int attemptsLeft) {
     Transaction transaction =
         Transaction.start()
-            .expect(StoreKeys.job(jobId), jobRevision)
+            .expect(StoreKeys.job(jobId), job.map(StoreItem::revision).orElse(0L))
             .write(StoreKeys.cancel(jobId), "{}");
     return store
         .commit(transaction)
         .thenCompose(
             reply -> {
-              if (reply instanceof CommitReply.Committed) {
-                return succeed(jobId, "cancel-accepted", "");
+              if (reply instanceof CommitReply.Committed committed) {
+                return cancelled(jobId, job, committed.revision());
               } else if (reply instanceof CommitReply.Refused refused) {
                 return fail(jobId, JobReply.UNAVAILABLE, refused.reason());
-              } else if (reply instanceof CommitReply.Conflict) {
-                return fail(jobId, JobReply.NO_SUCH_JOB, "cancel: job was removed in the meantime");
+              } else if (reply instanceof CommitReply.Conflict conflict) {
+                return cancelChanged(jobId, job, conflict.current(), attemptsLeft - 1);
               }
               return fail(jobId, JobReply.UNKNOWN, "cancel: no reply from the store");
             });
   }
 
+  private CompletableFuture<JobReply> cancelled(
+      String jobId, Optional<StoreItem> job, long revision) {
+    return job.isPresent()
+        ? succeed(jobId, "cancel-accepted", "job=" + job.get().revision() + " revision=" + revision)
+        : fail(
+            jobId,
+            JobReply.NO_SUCH_JOB,
+            "cancel: the store held nothing, cancellation stored revision=" + revision);
+  }
+
+  private CompletableFuture<JobReply> cancelChanged(
+      String jobId, Optional<StoreItem> job, List<StoreItem> current, int attemptsLeft) {
+    Optional<StoreItem> changed = JobItems.of(jobId, current).job();
+    if (job.isPresent() && changed.isEmpty()) {
+      return fail(
+          jobId,
+          JobReply.NO_SUCH_JOB,
+          "cancel: job=" + job.get().revision() + " was removed in the meantime");
+    }
+    return attemptsLeft > 0
+        ? cancel(jobId, changed, attemptsLeft)
+        : fail(jobId, JobReply.UNAVAILABLE, "cancel: the job keeps changing");
+  }
+
   /** Returns the status of a job; a job without stored progress is queued. */
   CompletableFuture<JobReply> status(String jobId) {
     return store
