Tell the next owner until when the lease of a silent worker lasts

The stored list now says for each silent worker when its lease has ended for certain, on the clocks of the owner that wrote it, and the next one converts that as it does a confirmation. So that the stored end stays true, no owner renews the lease of a worker that the stored list may call silent: as starts, renewals wait until the list says otherwise. The worker is polled without a wait then, and renewed as soon as the list is written. A list of an owner more than two terms ago is not relied on, as an owner of an older release may have renewed the lease since; nor are damaged rows.

LastingTaskDowntimeTest.should_not_wait_for_a_silent_worker_anew_when_the_owner_in_between_is_gone failed before (no run 9.5 s after the loss) and passes.

--- a/src/main/java/org/plantainloom/coordination/dispatch/Dispatcher.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/Dispatcher.java
@@ -205,12 +205,12 @@
    * Returns the workers that the next owner has to poll, or empty if the stored list is current.
    */
   public Optional<List<FleetMember>> unpersistedFleet() {
-    return workers.unpersisted();
+    return workers.unpersisted(takeover::leaseEndMs);
   }
 
   /** Handles a successful write of the list of workers, marked as incomplete or not. */
   public void fleetPersisted(List<FleetMember> members, boolean incomplete) {
-    workers.persisted(members, incomplete);
+    workers.persisted(members, incomplete, takeover::leaseEndMs);
   }
 
   /** Returns whether a worker has reported a newer owner, which ends this ownership. */
@@ -350,6 +350,7 @@
       WorkerSnapshot snapshot =
           takeover.areLeasesOver(nowMs) ? answered.snapshot() : jobs.knownPart(answered.snapshot());
       worker.hasEndsOfUnreadJobs = snapshot.ended().size() < answered.snapshot().ended().size();
+      workers.answered(worker);
       pendingCommands.addAll(reconciler.reconcile(worker, snapshot, sentMs, nowMs));
       if (snapshot.listsAllEnds()) {
         workers.releasePossibleTasks(worker, Evidence.NOT_LISTED, sentMs);
@@ -362,9 +363,7 @@
       worker.nextPollMs = nowMs + POLL_RETRY_DELAY_MS;
       worker.callFailed();
       if (!worker.unreachable) {
-        worker.unreachable = true;
-        worker.persisted = false;
-        log.logDecision("worker-silent", worker.id(), "reason=" + unavailable.reason());
+        workers.becameSilent(worker, unavailable.reason());
       }
     }
   }
--- a/src/main/java/org/plantainloom/coordination/dispatch/Takeover.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/Takeover.java
@@ -115,7 +115,8 @@
    */
   boolean isLeaseOver(WorkerState worker, long confirmedMs) {
     boolean onlyOwnLease = previousOwnersKnown && worker.isConfirmed();
-    return worker.leaseExpiryMs < confirmedMs && (onlyOwnLease || areLeasesOver(confirmedMs));
+    return worker.leaseExpiryMs < confirmedMs
+        && (onlyOwnLease || areLeasesOver(confirmedMs) || worker.isInheritedLeaseOver(confirmedMs));
   }
 
   /**
@@ -135,7 +136,14 @@
 
   /** Returns when the last lease that a worker may have from any owner ends. */
   long leaseEndMs(WorkerState worker) {
-    return worker.isConfirmed() ? worker.leaseExpiryMs : leasesEndMs;
+    if (worker.isConfirmed() && previousOwnersKnown) {
+      return worker.leaseExpiryMs;
+    }
+    long inheritedMs =
+        worker.isConfirmed()
+            ? leasesEndMs
+            : Math.min(leasesEndMs, worker.inheritedLeaseEndMs.orElse(leasesEndMs));
+    return Math.max(worker.leaseExpiryMs, inheritedMs);
   }
 
   boolean areLeasesOver(long nowMs) {
@@ -169,9 +177,9 @@
     if (caughtUp) {
       return;
     }
-    allAnswered = workers.areAllKnown();
+    allAnswered = workers.areAllKnown(confirmedMs);
     caughtUp = allAnswered || (areLeasesOver(confirmedMs) && !mayKeepEnds(confirmedMs));
-    knownWorkersAnswered |= caughtUp || workers.areListedOnesKnown();
+    knownWorkersAnswered |= caughtUp || workers.areListedOnesKnown(confirmedMs);
     if (caughtUp) {
       caughtUpMs = nowMs;
       workers.listComplete();
@@ -179,7 +187,7 @@
           "caught-up", "fleet", "workers=" + workers.all().size() + " all=" + allAnswered);
     } else if (nowMs - loggedMs >= LOG_INTERVAL_MS) {
       loggedMs = nowMs;
-      logUnansweredWorkers(nowMs);
+      logUnansweredWorkers(nowMs, confirmedMs);
     }
   }
 
@@ -193,7 +201,7 @@
         .anyMatch(
             worker ->
                 worker.isConfirmed()
-                    && !WorkerTable.isKnown(worker)
+                    && !WorkerTable.isKnown(worker, confirmedMs)
                     && !(worker.unreachable && worker.leaseExpiryMs < confirmedMs));
   }
 
@@ -206,10 +214,10 @@
   }
 
   /** Says for which workers the tasks of inherited jobs wait, and for how long at the most. */
-  private void logUnansweredWorkers(long nowMs) {
+  private void logUnansweredWorkers(long nowMs, long confirmedMs) {
     List<String> unanswered =
         workers.all().stream()
-            .filter(worker -> !WorkerTable.isKnown(worker))
+            .filter(worker -> !WorkerTable.isKnown(worker, confirmedMs))
             .map(WorkerState::id)
             .toList();
     log.logDecision(
--- a/src/main/java/org/plantainloom/coordination/dispatch/WorkerPolls.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/WorkerPolls.java
@@ -25,7 +25,8 @@
     worker.advanceAcknowledgement();
     boolean unpersistedEnds = worker.hasUnacknowledgedEnds();
     if (worker.pollInFlight
-        || (nowMs < worker.nextPollMs && (unpersistedEnds || worker.unreachable))) {
+        || (nowMs < worker.nextPollMs
+            && (unpersistedEnds || worker.unreachable || worker.storedAsSilent))) {
       return Optional.empty();
     }
     worker.pollInFlight = true;
@@ -33,9 +34,10 @@
     // does not know of would go on for another lease. Neither does one that may have started again,
     // as its clock is not known then.
     if (worker.isLifeCertain() && !worker.unreachable) {
-      long waitMs = unpersistedEnds ? 0 : waitMs(worker, ownership.remainingMs(nowMs, wallMs));
+      boolean awaitsWrite = unpersistedEnds || worker.storedAsSilent;
+      long waitMs = awaitsWrite ? 0 : waitMs(worker, ownership.remainingMs(nowMs, wallMs));
       return Optional.of(
-          ownership.isValid(nowMs, wallMs)
+          mayRenew(worker, nowMs, wallMs)
               ? renewal(worker, worker.life().clockAt(nowMs), waitMs, nowMs)
               : withoutRenewal(worker, waitMs));
     }
@@ -53,11 +55,16 @@
    */
   Optional<DispatchCommand.Poll> renewalIfOwner(
       WorkerState worker, long workerClockMs, long nowMs, long wallMs) {
-    return ownership.isValid(nowMs, wallMs)
+    return mayRenew(worker, nowMs, wallMs)
         ? Optional.of(renewal(worker, workerClockMs, 0, nowMs))
         : Optional.empty();
   }
 
+  /** The next owner relies on the end of a lease that the stored list names. */
+  private boolean mayRenew(WorkerState worker, long nowMs, long wallMs) {
+    return ownership.isValid(nowMs, wallMs) && !worker.storedAsSilent;
+  }
+
   private DispatchCommand.Poll renewal(
       WorkerState worker, long workerClockMs, long waitMs, long nowMs) {
     worker.leaseExtended(nowMs, policy.longestLeaseMs());
--- a/src/main/java/org/plantainloom/coordination/dispatch/WorkerState.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/WorkerState.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.Function;
 import org.plantainloom.state.ResourceVector;
@@ -36,6 +37,15 @@
 
   boolean unreachable;
 
+  /**
+   * Whether the stored list may say that this worker is silent. Its lease must not be renewed then,
+   * as the next owner may rely on its end.
+   */
+  boolean storedAsSilent;
+
+  /** When no lease of a previous owner holds any more, if a stored list tells that. */
+  OptionalLong inheritedLeaseEndMs = OptionalLong.empty();
+
   /** The life in which it has answered a poll of this owner last; empty if it has not. */
   private Optional<WorkerLife> life = Optional.empty();
 
@@ -183,6 +193,19 @@
     return life.filter(WorkerLife::hasListedAllEnds).isPresent();
   }
 
+  /** Returns whether a stored list tells that no lease of a previous owner holds any more. */
+  boolean isInheritedLeaseOver(long nowMs) {
+    return !isConfirmed()
+        && inheritedLeaseEndMs.isPresent()
+        && inheritedLeaseEndMs.getAsLong() < nowMs
+        && leaseExpiryMs < nowMs;
+  }
+
+  /** Returns whether it does not answer, also if only a previous owner has tried. */
+  boolean isSilent() {
+    return unreachable || (storedAsSilent && !isConfirmed());
+  }
+
   /** Returns the life in which it has answered last. */
   WorkerLife life() {
     return life.orElseThrow();
--- a/src/main/java/org/plantainloom/coordination/dispatch/WorkerTable.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/WorkerTable.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
+import java.util.function.ToLongFunction;
 import org.plantainloom.coordination.dispatch.RunConclusion.Evidence;
 import org.plantainloom.state.job.RunOutcome;
 import org.plantainloom.state.job.TaskKey;
@@ -58,6 +59,8 @@
     WorkerState worker = workers.get(registration.id());
     worker.persisted = true;
     worker.possibleTasks = member.possibleTasks();
+    worker.storedAsSilent = member.silent();
+    worker.inheritedLeaseEndMs = member.leaseEndMs();
     unregistered(registration.id());
   }
 
@@ -80,19 +83,40 @@
     return listIncomplete;
   }
 
-  /** Returns whether it is known what all workers run, or may run, for previous owners. */
-  boolean areAllKnown() {
-    return !listIncomplete && areListedOnesKnown();
+  /**
+   * Returns whether it is known what all workers run, or may run, for previous owners.
+   *
+   * @param confirmedMs when the store last confirmed the ownership
+   */
+  boolean areAllKnown(long confirmedMs) {
+    return !listIncomplete && areListedOnesKnown(confirmedMs);
   }
 
   /** Returns the same for the workers in this table, which may lack some of previous owners. */
-  boolean areListedOnesKnown() {
-    return workers.values().stream().allMatch(WorkerTable::isKnown);
+  boolean areListedOnesKnown(long confirmedMs) {
+    return workers.values().stream().allMatch(worker -> isKnown(worker, confirmedMs));
   }
 
   /** Returns whether it is known what a worker runs, or may run, for previous owners. */
-  static boolean isKnown(WorkerState worker) {
-    return worker.hasListedAllEnds() || worker.possibleTasks.isPresent();
+  static boolean isKnown(WorkerState worker, long confirmedMs) {
+    return worker.hasListedAllEnds()
+        || worker.possibleTasks.isPresent()
+        || worker.isInheritedLeaseOver(confirmedMs);
+  }
+
+  /** Handles that a worker does not answer. */
+  void becameSilent(WorkerState worker, String reason) {
+    worker.unreachable = true;
+    worker.persisted = false;
+    worker.storedAsSilent = true;
+    log.logDecision("worker-silent", worker.id(), "reason=" + reason);
+  }
+
+  /** Handles an answer: until the stored list names the worker as answering, nothing runs anew. */
+  void answered(WorkerState worker) {
+    if (worker.storedAsSilent) {
+      worker.persisted = false;
+    }
   }
 
   /** Once all jobs are restored, holds back the tasks that unreachable workers may run. */
@@ -189,27 +213,43 @@
 
   /**
    * Returns the workers that the next owner has to poll, or empty if the stored list is current.
+   *
+   * @param leaseEnds when the last lease of a worker has ended
    */
-  Optional<List<FleetMember>> unpersisted() {
+  Optional<List<FleetMember>> unpersisted(ToLongFunction<WorkerState> leaseEnds) {
     boolean allPersisted = workers.values().stream().allMatch(w -> w.persisted);
     boolean markOutdated = storedListIncomplete && !listIncomplete;
     return allPersisted && !hasUnpersistedRemoval && !markOutdated
         ? Optional.empty()
-        : Optional.of(workers.values().stream().map(WorkerState::toFleetMember).toList());
+        : Optional.of(
+            workers.values().stream().map(worker -> toFleetMember(worker, leaseEnds)).toList());
+  }
+
+  private static FleetMember toFleetMember(
+      WorkerState worker, ToLongFunction<WorkerState> leaseEnds) {
+    FleetMember member = worker.toFleetMember();
+    return worker.isSilent() ? member.silentUntil(leaseEnds.applyAsLong(worker)) : member;
   }
 
   /**
    * Handles a successful write of the list.
    *
    * @param incomplete whether it was stored as incomplete
+   * @param leaseEnds when the last lease of a worker has ended
    */
-  void persisted(List<FleetMember> members, boolean incomplete) {
+  void persisted(
+      List<FleetMember> members, boolean incomplete, ToLongFunction<WorkerState> leaseEnds) {
     hasUnpersistedRemoval = false;
     storedListIncomplete = incomplete;
     for (FleetMember member : members) {
       WorkerState worker = workers.get(member.entry().id());
+      if (worker == null) {
+        continue;
+      }
+      // Only one list is written at a time, so that no earlier one can replace this one.
+      worker.storedAsSilent = member.silent() || worker.unreachable;
       // A worker that became unreachable or reachable since then has to be written again.
-      if (worker != null && worker.toFleetMember().isCoveredBy(member)) {
+      if (toFleetMember(worker, leaseEnds).isCoveredBy(member)) {
         worker.persisted = true;
       }
     }
--- a/src/main/java/org/plantainloom/transport/dispatch/FleetRecord.java
+++ b/src/main/java/org/plantainloom/transport/dispatch/FleetRecord.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.annotation.JsonInclude;
 import java.util.List;
 import java.util.Map;
+import org.plantainloom.coordination.dispatch.OwnerTime;
 import org.plantainloom.state.job.WorkerRegistration;
 
 /**
@@ -13,10 +14,13 @@
  * @param workers the workers
  * @param silentTasks for each worker that was not responding when the record was written, all tasks
  *     that it may be running; nothing was started there afterwards
+ * @param silentUntil for each of those workers, when its lease has ended for certain, on the clocks
+ *     of the owner that wrote this; older releases do not write this field
  * @param incomplete whether previous owners may have started tasks on other workers, too, because
  *     their record was damaged; older releases do not write this field
  */
 record FleetRecord(
     List<WorkerRegistration> workers,
     @JsonInclude(JsonInclude.Include.NON_EMPTY) Map<String, List<String>> silentTasks,
+    @JsonInclude(JsonInclude.Include.NON_EMPTY) Map<String, OwnerTime> silentUntil,
     @JsonInclude(JsonInclude.Include.NON_DEFAULT) boolean incomplete) {}
--- a/src/main/java/org/plantainloom/transport/dispatch/OwnerSession.java
+++ b/src/main/java/org/plantainloom/transport/dispatch/OwnerSession.java
@@ -12,7 +12,6 @@
 import org.plantainloom.coordination.dispatch.DecisionLog;
 import org.plantainloom.coordination.dispatch.DispatchCommand;
 import org.plantainloom.coordination.dispatch.Dispatcher;
-import org.plantainloom.coordination.dispatch.OwnershipLease;
 import org.plantainloom.state.job.JobStatus;
 import org.plantainloom.state.job.PollReply;
 import org.plantainloom.state.job.WorkerRegistration;
@@ -44,7 +43,7 @@
   private final OwnerElection election;
   private final ClusterView cluster;
   private final DecisionLog decisionLog;
-  private final OwnershipLease ownershipLease;
+  private final Ownership ownership;
   private final Dispatcher dispatcher;
   private final JobListener jobListener;
   private final ProgressWriter progressWriter;
@@ -79,7 +78,7 @@
     this.election = election;
     this.cluster = cluster;
     this.fencingToken = ownership.record().term();
-    this.ownershipLease = ownership.validity();
+    this.ownership = ownership;
     this.calls = new WorkerCalls(node.workers(), fencingToken);
     // Concatenated rather than formatted, as there are up to a hundred such lines a second.
     this.decisionLog =
@@ -88,7 +87,7 @@
         new Dispatcher(
             ownership.record().term(),
             node.policy(),
-            ownershipLease,
+            ownership.validity(),
             decisionLog,
             NodeContext.nowMs());
     this.jobListener = new JobListener(dispatcher, this::scheduleRound);
@@ -181,7 +180,7 @@
 
   private void inheritFleet(StoreItem item) {
     long now = NodeContext.nowMs();
-    StoredFleet fleet = StoredFleet.parse(item.value());
+    StoredFleet fleet = StoredFleet.parse(item.value(), ownership::latestMs);
     progressWriter.fleetRead(item.revision());
     fleet.members().forEach(member -> dispatcher.workerInherited(member, now));
     fleetSize = fleet.members().size();
@@ -327,7 +326,7 @@
    * another node may know better.
    */
   Optional<Integer> pendingJobs(String queue) {
-    boolean acting = ownershipLease.isValid(NodeContext.nowMs(), NodeContext.wallMs());
+    boolean acting = ownership.validity().isValid(NodeContext.nowMs(), NodeContext.wallMs());
     return loaded && acting ? Optional.of(dispatcher.queuedJobCount(queue)) : Optional.empty();
   }
 
--- a/src/main/java/org/plantainloom/transport/dispatch/Ownership.java
+++ b/src/main/java/org/plantainloom/transport/dispatch/Ownership.java
@@ -34,4 +34,14 @@
         ? clocks.latestConfirmationMs(lastConfirmation.get())
         : OptionalLong.empty();
   }
+
+  /**
+   * Returns the latest time of a moment that the stored list of workers names; empty if it is not
+   * known, or if an owner of a release that ignores such moments may have followed the writer.
+   */
+  OptionalLong latestMs(OwnerTime moment) {
+    boolean reliable =
+        lastConfirmation.isPresent() && moment.term() >= lastConfirmation.get().term() - 1;
+    return reliable ? clocks.latestMs(moment) : OptionalLong.empty();
+  }
 }
--- a/src/main/java/org/plantainloom/transport/dispatch/ProgressWriter.java
+++ b/src/main/java/org/plantainloom/transport/dispatch/ProgressWriter.java
@@ -8,6 +8,7 @@
 import org.jboss.logging.Logger;
 import org.plantainloom.coordination.dispatch.Dispatcher;
 import org.plantainloom.coordination.dispatch.FleetMember;
+import org.plantainloom.coordination.dispatch.OwnerTime;
 import org.plantainloom.coordination.dispatch.ProgressBatch;
 import org.plantainloom.protocol.Json;
 import org.plantainloom.state.job.TaskKey;
@@ -108,7 +109,10 @@
   }
 
   private void persistFleet(List<FleetMember> fleet) {
+    OwnerTime now =
+        new OwnerTime(ownership.record().term(), NodeContext.nowMs(), NodeContext.wallMs());
     Map<String, List<String>> silentTasks = new HashMap<>();
+    Map<String, OwnerTime> silentUntil = new HashMap<>();
     for (FleetMember member : fleet) {
       member
           .possibleTasks()
@@ -116,19 +120,25 @@
               keys ->
                   silentTasks.put(
                       member.entry().id(), keys.stream().map(TaskKey::toString).toList()));
+      member
+          .leaseEndMs()
+          .ifPresent(
+              end -> silentUntil.put(member.entry().id(), now.plus(end - now.monotonicMs())));
     }
     List<WorkerRegistration> workers = fleet.stream().map(FleetMember::entry).toList();
     boolean incomplete = dispatcher.isFleetIncomplete();
     commit(
         ownerTransaction()
             .expect(StoreKeys.FLEET, fleetRevision)
-            .write(StoreKeys.FLEET, Json.write(new FleetRecord(workers, silentTasks, incomplete))),
+            .write(
+                StoreKeys.FLEET,
+                Json.write(new FleetRecord(workers, silentTasks, silentUntil, incomplete))),
         revision -> {
           fleetRevision = revision;
           dispatcher.fleetPersisted(fleet, incomplete);
           LOG.infof(
               "event=fleet-persisted workers=%d silent=%d revision=%d",
-              fleet.size(), silentTasks.size(), revision);
+              fleet.size(), silentUntil.size(), revision);
         },
         current -> fleetRevision = revisionOf(StoreKeys.FLEET, current));
   }
--- a/src/main/java/org/plantainloom/transport/dispatch/StoredFleet.java
+++ b/src/main/java/org/plantainloom/transport/dispatch/StoredFleet.java
@@ -7,8 +7,11 @@
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
+import java.util.function.Function;
 import org.plantainloom.coordination.dispatch.FleetMember;
+import org.plantainloom.coordination.dispatch.OwnerTime;
 import org.plantainloom.protocol.Json;
 import org.plantainloom.protocol.MalformedMessageException;
 import org.plantainloom.state.job.TaskKey;
@@ -28,7 +31,12 @@
   /** Sums of a worker's clock and the length of a lease must not overflow. */
   private static final long MAX_CLOCK_MS = Long.MAX_VALUE / 2;
 
-  static StoredFleet parse(String text) {
+  /**
+   * Reads a record.
+   *
+   * @param clocks returns the latest time on this process's clock of a moment on an owner's clocks
+   */
+  static StoredFleet parse(String text, Function<OwnerTime, OptionalLong> clocks) {
     JsonNode record;
     try {
       record = Json.read(text, JsonNode.class);
@@ -42,8 +50,7 @@
     List<String> damages = new ArrayList<>();
     for (JsonNode row : record.path("workers")) {
       try {
-        WorkerRegistration worker = worker(row);
-        members.add(new FleetMember(worker, silentTasks(record.path("silentTasks"), worker)));
+        members.add(member(worker(row), record, clocks));
       } catch (MalformedMessageException e) {
         damages.add(e.getMessage());
       }
@@ -58,6 +65,19 @@
     return new StoredFleet(members, damages.stream().findFirst());
   }
 
+  private static FleetMember member(
+      WorkerRegistration worker, JsonNode record, Function<OwnerTime, OptionalLong> clocks) {
+    JsonNode tasks = record.path("silentTasks").path(worker.id());
+    JsonNode until = record.path("silentUntil").path(worker.id());
+    Optional<List<TaskKey>> possibleTasks = silentTasks(tasks);
+    boolean damaged = possibleTasks.isEmpty() && !tasks.isMissingNode();
+    return new FleetMember(
+        worker,
+        possibleTasks,
+        !until.isMissingNode(),
+        damaged ? OptionalLong.empty() : leaseEndMs(until, clocks));
+  }
+
   private static WorkerRegistration worker(JsonNode row) {
     WorkerRegistration worker = Json.read(row, WorkerRegistration.class);
     boolean valid =
@@ -94,9 +114,7 @@
    * Returns the tasks that a silent worker may run. Empty if the worker was not silent, and also if
    * one of them is unreadable: as the list limits what the worker may run, part of it is of no use.
    */
-  private static Optional<List<TaskKey>> silentTasks(
-      JsonNode silentTasks, WorkerRegistration worker) {
-    JsonNode keys = silentTasks.path(worker.id());
+  private static Optional<List<TaskKey>> silentTasks(JsonNode keys) {
     if (!keys.isArray()) {
       return Optional.empty();
     }
@@ -111,6 +129,16 @@
     return Optional.of(tasks);
   }
 
+  private static OptionalLong leaseEndMs(JsonNode until, Function<OwnerTime, OptionalLong> clocks) {
+    try {
+      return until.isObject()
+          ? clocks.apply(Json.read(until, OwnerTime.class))
+          : OptionalLong.empty();
+    } catch (MalformedMessageException e) {
+      return OptionalLong.empty();
+    }
+  }
+
   private static boolean namesOtherWorkers(JsonNode silentTasks, List<FleetMember> members) {
     Set<String> others = new HashSet<>();
     silentTasks.fieldNames().forEachRemaining(others::add);
--- a/src/test/java/org/plantainloom/coordination/dispatch/DispatcherSimulation.java
+++ b/src/test/java/org/plantainloom/coordination/dispatch/DispatcherSimulation.java
@@ -39,6 +39,9 @@
   double taskDurationMs = 200;
   boolean persisting = true;
 
+  /** Whether the list of workers can be written. */
+  boolean persistingFleet = true;
+
   /** Whether the store confirms the ownership of the current owner. */
   boolean storeReachable = true;
 
@@ -57,6 +60,10 @@
   private Optional<OwnerTime> lastConfirmation = Optional.empty();
   private long lastSampleMs;
   private long term;
+
+  /** The owner that wrote the stored list of workers. */
+  private long fleetTerm;
+
   private OptionalLong previousOwnersStoppedMs = OptionalLong.empty();
   private final List<PendingPoll> pendingPolls = new ArrayList<>();
   private List<FleetMember> persistedFleet = List.of();
@@ -128,7 +135,7 @@
     dispatcher.previousOwnersKnown();
     previousOwnersConfirmedMs.ifPresent(dispatcher::previousOwnersConfirmed);
     previousOwnersStoppedMs.ifPresent(dispatcher::previousOwnersStopped);
-    persistedFleet.forEach(member -> dispatcher.workerInherited(member, nowMs));
+    persistedFleet.forEach(member -> dispatcher.workerInherited(convert(member), nowMs));
     workers.forEach(worker -> dispatcher.workerRegistered(worker.registration, nowMs));
     pendingPolls.clear();
     persistFleet();
@@ -246,12 +253,27 @@
     return this;
   }
 
+  /** Returns a stored worker with what the next owner knows of the clocks of the one before. */
+  private FleetMember convert(FleetMember member) {
+    OptionalLong leaseEndMs =
+        member.leaseEndMs().isPresent()
+            ? clocks.latestMs(
+                new OwnerTime(
+                    fleetTerm, member.leaseEndMs().getAsLong(), member.leaseEndMs().getAsLong()))
+            : OptionalLong.empty();
+    return new FleetMember(member.entry(), member.possibleTasks(), member.silent(), leaseEndMs);
+  }
+
   private void persistFleet() {
+    if (!persistingFleet) {
+      return;
+    }
     dispatcher
         .unpersistedFleet()
         .ifPresent(
             fleet -> {
               persistedFleet = fleet;
+              fleetTerm = term;
               dispatcher.fleetPersisted(fleet, dispatcher.isFleetIncomplete());
             });
   }
--- a/src/test/java/org/plantainloom/coordination/dispatch/HandoverFaults.java
+++ b/src/test/java/org/plantainloom/coordination/dispatch/HandoverFaults.java
@@ -211,6 +211,34 @@
     return random.nextInt(5) == 0 ? random.nextInt(2_000) : 1 + random.nextInt(60);
   }
 
+  void scheduleStaleLists() {
+    repeat(2 + random.nextInt(3), this::loseOwnerOfRegainedWorker);
+  }
+
+  /**
+   * A worker is silent for a while, the store fails as it answers again, and the next owner does
+   * not reach it.
+   */
+  private void loseOwnerOfRegainedWorker() {
+    HandoverWorker worker = drawWorker();
+    long silentMs = 700L + random.nextInt(3_000);
+    worker.silentUntilMs = simulation.nowMs() + silentMs;
+    simulation.after(
+        silentMs - random.nextInt(300),
+        () -> simulation.store().disturb(1_000 + random.nextInt(4_000)));
+    simulation.after(
+        silentMs + random.nextInt(3_000),
+        () -> {
+          int term = simulation.currentOwner().term();
+          long untilMs = simulation.nowMs() + 3_000 + random.nextInt(8_000);
+          simulation
+              .network()
+              .add(
+                  new WorkerCut(other -> other > term, Set.of(worker), true, true, untilMs, false));
+          simulation.replaceOwner();
+        });
+  }
+
   void scheduleRestarts() {
     repeat(2 + random.nextInt(5), this::restartWorker);
   }
--- a/src/test/java/org/plantainloom/coordination/dispatch/HandoverOwner.java
+++ b/src/test/java/org/plantainloom/coordination/dispatch/HandoverOwner.java
@@ -60,7 +60,7 @@
     previousOwnersConfirmedMs.ifPresent(dispatcher::previousOwnersConfirmed);
     HandoverStore store = simulation.store();
     fleetRevision = store.revision(HandoverStore.fleetKey());
-    store.fleet().forEach(member -> dispatcher.workerInherited(member, time()));
+    store.fleet(clocks).forEach(member -> dispatcher.workerInherited(member, time()));
     simulation.workers().stream()
         .filter(worker -> worker.registered)
         .forEach(worker -> dispatcher.workerRegistered(worker.registration(), time()));
@@ -219,7 +219,10 @@
   private void persistFleet(List<FleetMember> fleet) {
     boolean incomplete = dispatcher.isFleetIncomplete();
     HandoverStore.Change change =
-        new HandoverStore.Change(HandoverStore.fleetKey(), fleetRevision, fleet);
+        new HandoverStore.Change(
+            HandoverStore.fleetKey(),
+            fleetRevision,
+            new HandoverFleet(fleet, new OwnerTime(term, time(), wallTime())));
     commit(
         List.of(change),
         revision -> {
--- a/src/test/java/org/plantainloom/coordination/dispatch/HandoverScenario.java
+++ b/src/test/java/org/plantainloom/coordination/dispatch/HandoverScenario.java
@@ -62,6 +62,16 @@
       return true;
     }
   },
+  /**
+   * A worker that the stored list calls silent answers again while writes fail, and the next owner
+   * does not reach it.
+   */
+  STALE_LISTS {
+    @Override
+    void schedule(HandoverFaults faults) {
+      faults.scheduleStaleLists();
+    }
+  },
   /** A worker crashes and is back under its id within seconds, also as another kind. */
   REBORN_WORKERS {
     @Override
--- a/src/test/java/org/plantainloom/coordination/dispatch/HandoverStore.java
+++ b/src/test/java/org/plantainloom/coordination/dispatch/HandoverStore.java
@@ -88,9 +88,11 @@
     return FLEET;
   }
 
-  @SuppressWarnings("unchecked")
-  List<FleetMember> fleet() {
-    return items.containsKey(FLEET) ? (List<FleetMember>) items.get(FLEET).value() : List.of();
+  /** Returns the stored workers, as a process knows them that has sampled the owners' clocks. */
+  List<FleetMember> fleet(OwnerClocks clocks) {
+    return items.containsKey(FLEET)
+        ? ((HandoverFleet) items.get(FLEET).value()).read(clocks)
+        : List.of();
   }
 
   JobProgress progress(String jobId) {
--- a/src/test/java/org/plantainloom/coordination/dispatch/HeldBackTaskTest.java
+++ b/src/test/java/org/plantainloom/coordination/dispatch/HeldBackTaskTest.java
@@ -174,4 +174,29 @@
       assertThat(simulation.runningCopies(FIRST)).as("at " + i).isLessThanOrEqualTo(1);
     }
   }
+
+  /** The next owner may rely on the end of the lease that the stored list names. */
+  @Test
+  public void should_not_renew_the_lease_of_a_worker_that_the_stored_list_calls_silent() {
+    // given: the worker is silent, and the store has that
+    DispatcherSimulation simulation = new DispatcherSimulation(1, 8).run(100);
+    simulation.workers.get(0).unreachable = true;
+    simulation.run(3_000);
+    // when: it answers, and the list cannot be written
+    simulation.persistingFleet = false;
+    simulation.workers.get(0).unreachable = false;
+    simulation.commands.clear();
+    simulation.run(2_000);
+    // then
+    assertThat(simulation.commands)
+        .isNotEmpty()
+        .allSatisfy(
+            command -> assertThat(((DispatchCommand.Poll) command).leaseUntilMs()).isEmpty());
+    // and once it is written
+    simulation.persistingFleet = true;
+    simulation.run(100);
+    assertThat(simulation.commands)
+        .anySatisfy(
+            command -> assertThat(((DispatchCommand.Poll) command).leaseUntilMs()).isPresent());
+  }
 }
--- a/src/test/java/org/plantainloom/coordination/dispatch/LastingTaskDowntimeTest.java
+++ b/src/test/java/org/plantainloom/coordination/dispatch/LastingTaskDowntimeTest.java
@@ -93,7 +93,7 @@
   }
 
   /** Regression (LOST): each owner began the wait for the lease of a silent worker anew. */
-  @Test(groups = "known-red")
+  @Test
   public void should_not_wait_for_a_silent_worker_anew_when_the_owner_in_between_is_gone() {
     // given: the first owner stored that the worker is silent, and its process runs on
     DispatcherSimulation simulation = simulation(DispatcherSimulation.MAX_LEASE_MS);
--- a/src/test/java/org/plantainloom/transport/dispatch/ProgressWriterTest.java
+++ b/src/test/java/org/plantainloom/transport/dispatch/ProgressWriterTest.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.LinkedBlockingQueue;
@@ -146,7 +147,10 @@
   }
 
   private FleetMember storedMember() {
-    return StoredFleet.parse(store.values.get(StoreKeys.FLEET)).members().get(0);
+    return StoredFleet.parse(
+            store.values.get(StoreKeys.FLEET), time -> OptionalLong.of(time.monotonicMs()))
+        .members()
+        .get(0);
   }
 
   /** A store that checks the required revisions, also of transactions that it delays. */
--- a/src/test/java/org/plantainloom/transport/dispatch/StoredFleetTest.java
+++ b/src/test/java/org/plantainloom/transport/dispatch/StoredFleetTest.java
@@ -5,7 +5,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.plantainloom.coordination.dispatch.FleetMember;
+import org.plantainloom.coordination.dispatch.OwnerTime;
 import org.plantainloom.protocol.Json;
 import org.plantainloom.state.ResourceVector;
 import org.plantainloom.state.job.TaskKey;
@@ -20,10 +22,24 @@
   private static final TaskKey TASK = new TaskKey("00000000000000aa", 0, 0, 1);
   private static final WorkerRegistration SILENT = worker("w1");
   private static final WorkerRegistration ANSWERING = worker("w2");
+  private static final OwnerTime LEASE_END = new OwnerTime(3, 70_000, 1_700_000_000_000L);
+
+  /** The same on this process's clock. */
+  private static final long LEASE_END_MS = 4_000;
+
   private static final String RECORD =
       Json.write(
           new FleetRecord(
-              List.of(SILENT, ANSWERING), Map.of("w1", List.of(TASK.toString())), false));
+              List.of(SILENT, ANSWERING),
+              Map.of("w1", List.of(TASK.toString())),
+              Map.of("w1", LEASE_END),
+              false));
+
+  private static StoredFleet parse(String text) {
+    return StoredFleet.parse(
+        text,
+        time -> time.equals(LEASE_END) ? OptionalLong.of(LEASE_END_MS) : OptionalLong.empty());
+  }
 
   private static WorkerRegistration worker(String id) {
     return new WorkerRegistration(
@@ -33,19 +49,20 @@
   @Test
   public void should_read_all_workers_of_an_intact_record() {
     // when
-    StoredFleet fleet = StoredFleet.parse(RECORD);
+    StoredFleet fleet = parse(RECORD);
     // then
     assertThat(fleet.damage()).isEmpty();
     assertThat(fleet.members())
         .containsExactly(
-            new FleetMember(SILENT, Optional.of(List.of(TASK))),
+            new FleetMember(
+                SILENT, Optional.of(List.of(TASK)), true, OptionalLong.of(LEASE_END_MS)),
             new FleetMember(ANSWERING, Optional.empty()));
   }
 
   @Test
   public void should_read_a_record_of_a_release_without_silent_tasks() {
     // when
-    StoredFleet fleet = StoredFleet.parse("{\"workers\":[" + Json.write(ANSWERING) + "]}");
+    StoredFleet fleet = parse("{\"workers\":[" + Json.write(ANSWERING) + "]}");
     // then
     assertThat(fleet.damage()).isEmpty();
     assertThat(fleet.members()).containsExactly(new FleetMember(ANSWERING, Optional.empty()));
@@ -54,9 +71,9 @@
   @Test
   public void should_pass_on_that_a_former_owner_could_not_read_all_workers() {
     // given
-    FleetRecord record = new FleetRecord(List.of(ANSWERING), Map.of(), true);
+    FleetRecord record = new FleetRecord(List.of(ANSWERING), Map.of(), Map.of(), true);
     // when
-    StoredFleet fleet = StoredFleet.parse(Json.write(record));
+    StoredFleet fleet = parse(Json.write(record));
     // then
     assertThat(fleet.members()).hasSize(1);
     assertThat(fleet.damage()).isPresent();
@@ -84,8 +101,7 @@
   @Test(dataProvider = "damagedRows")
   public void should_read_the_other_workers_when_one_row_is_damaged(String row) {
     // when
-    StoredFleet fleet =
-        StoredFleet.parse("{\"workers\":[" + row + "," + Json.write(ANSWERING) + "]}");
+    StoredFleet fleet = parse("{\"workers\":[" + row + "," + Json.write(ANSWERING) + "]}");
     // then
     assertThat(fleet.members()).extracting(FleetMember::entry).containsExactly(ANSWERING);
     assertThat(fleet.damage()).isPresent();
@@ -111,7 +127,7 @@
   @Test(dataProvider = "damagedRecords")
   public void should_report_a_record_that_may_lack_workers(String text) {
     // when
-    StoredFleet fleet = StoredFleet.parse(text);
+    StoredFleet fleet = parse(text);
     // then
     assertThat(fleet.members()).isEmpty();
     assertThat(fleet.damage()).isPresent();
@@ -127,8 +143,22 @@
     // given
     String text = RECORD.replace("[\"" + TASK + "\"]", tasks);
     // then: the worker itself has to answer
-    assertThat(StoredFleet.parse(text).members().get(0))
-        .isEqualTo(new FleetMember(SILENT, Optional.empty()));
+    assertThat(parse(text).members().get(0))
+        .isEqualTo(new FleetMember(SILENT, Optional.empty(), true, OptionalLong.empty()));
+  }
+
+  @DataProvider
+  public static Object[][] damagedLeaseEnds() {
+    return new Object[][] {{"null"}, {"7"}, {"\"x\""}, {"[]"}, {"{\"term\":\"x\"}"}};
+  }
+
+  @Test(dataProvider = "damagedLeaseEnds")
+  public void should_not_rely_on_a_damaged_end_of_the_lease_of_a_silent_worker(String end) {
+    // given
+    String text = RECORD.replace(Json.write(LEASE_END), end);
+    // then: the worker is still known as silent
+    assertThat(parse(text).members().get(0))
+        .isEqualTo(new FleetMember(SILENT, Optional.of(List.of(TASK)), true, OptionalLong.empty()));
   }
 
   @Test
@@ -138,7 +168,7 @@
     for (int i = 0; i < MESSAGES; i++) {
       String text = mutator.mutate(RECORD);
       // when
-      StoredFleet fleet = StoredFleet.parse(text);
+      StoredFleet fleet = parse(text);
       // then
       assertThat(fleet.members())
           .as(text)
--- a/src/test/java/org/plantainloom/transport/dispatch/StoredJobTest.java
+++ b/src/test/java/org/plantainloom/transport/dispatch/StoredJobTest.java
@@ -5,6 +5,7 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.concurrent.atomic.AtomicReference;
 import org.plantainloom.coordination.dispatch.DecisionLog;
 import org.plantainloom.coordination.dispatch.DispatchPolicy;
@@ -239,7 +240,7 @@
     }
 
     private static void readAll(String text) {
-      StoredFleet.parse(text);
+      StoredFleet.parse(text, time -> OptionalLong.empty());
       assertThatThrownBy(() -> StoredJob.parse(ID, text))
           .isInstanceOf(MalformedMessageException.class);
       assertThatThrownBy(() -> StoredProgress.parse(JOB, text))
