--- a/src/main/java/org/plantainloom/coordination/dispatch/Takeover.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/Takeover.java
@@ -126,7 +126,7 @@
   OptionalLong lastWaitEndMs(long nowMs, long confirmedMs) {
     LongStream ends =
         workers.all().stream()
-            .filter(worker -> worker.unreachable)
+            .filter(WorkerState::isSilent)
             .filter(worker -> !isLeaseOver(worker, confirmedMs) && isLeaseOver(worker, nowMs))
             .mapToLong(this::leaseEndMs);
     boolean endsTakeover = !caughtUp && areLeasesOver(nowMs) && !areLeasesOver(confirmedMs);
--- a/src/test/java/org/plantainloom/platform/PlatformStoreTest.java
+++ b/src/test/java/org/plantainloom/platform/PlatformStoreTest.java
@@ -44,6 +44,35 @@
     }
   }
 
+  /** Such a read is cheaper for the store. */
+  @Test
+  public void should_allow_the_store_to_answer_a_stale_read_from_an_earlier_state() {
+    // given
+    Server server =
+        Server.builder()
+            .http(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0))
+            .meterRegistry(NoopMeterRegistry.get())
+            .gracefulShutdownTimeoutMillis(0, 0)
+            .serviceUnder(
+                "/",
+                (ctx, request) ->
+                    HttpResponse.of(
+                        HttpStatus.OK,
+                        MediaType.JSON,
+                        "{\"key\":\"" + ctx.query() + "\",\"revision\":5,\"value\":\"\"}"))
+            .build();
+    server.start().join();
+    try (PlatformHttpClient client = new PlatformHttpClient()) {
+      PlatformStore store = new PlatformStore(client, "127.0.0.1:" + server.activeLocalPort());
+      // when
+      ReadReply.Found read = (ReadReply.Found) store.readStale("a").join();
+      // then
+      assertThat(read.items()).singleElement().matches(item -> item.key().contains("stale-ok=1"));
+    } finally {
+      Servers.stopInBackground(server);
+    }
+  }
+
   @Test
   public void should_read_a_value_that_is_not_text_as_empty() {
     // given: a registration with a byte that UTF-8 does not allow in its service
