Conclude nothing from runs of unknown jobs before the jobs of previous owners are read

Now the jobs must also be known as of a time after the previous owners stopped, since they can only have started what was stored before.

--- a/src/main/java/org/plantainloom/coordination/dispatch/Dispatcher.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/Dispatcher.java
@@ -346,9 +346,8 @@
     }
     worker.pollInFlight = false;
     if (reply instanceof PollReply.Answered answered) {
-      // Until then, a previous owner may have started a job that this one has not read yet.
       WorkerSnapshot snapshot =
-          takeover.areLeasesOver(nowMs) ? answered.snapshot() : jobs.knownPart(answered.snapshot());
+          areInheritedJobsKnown(nowMs) ? answered.snapshot() : jobs.knownPart(answered.snapshot());
       worker.hasEndsOfUnreadJobs = snapshot.ended().size() < answered.snapshot().ended().size();
       workers.answered(worker);
       pendingCommands.addAll(reconciler.reconcile(worker, snapshot, sentMs, nowMs));
@@ -368,6 +367,15 @@
     }
   }
 
+  /**
+   * Returns whether a run of an unknown job can only be one of a removed job. Before, a previous
+   * owner may have started a job that this one has not read yet, however late its watch is.
+   */
+  private boolean areInheritedJobsKnown(long nowMs) {
+    return takeover.areLeasesOver(nowMs)
+        && jobsFreshness.isKnownAsOf(takeover.previousOwnersStoppedMs());
+  }
+
   /** Handles the answer to a start. */
   public void startAnswered(DispatchCommand.Start start, CommandReply reply, long nowMs) {
     starter.startAnswered();
--- a/src/main/java/org/plantainloom/coordination/dispatch/JobsFreshness.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/JobsFreshness.java
@@ -42,6 +42,11 @@
     }
   }
 
+  /** Returns whether all is known that the store acknowledged before a time. */
+  boolean isKnownAsOf(long ms) {
+    return known && asOfMs > ms;
+  }
+
   /** Returns whether what is known is recent enough to start tasks, and logs when that changes. */
   boolean mayStart(long nowMs, long wallMs) {
     long ageMs = ageMs(nowMs, wallMs);
--- a/src/main/java/org/plantainloom/coordination/dispatch/Takeover.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/Takeover.java
@@ -146,6 +146,11 @@
     return Math.max(worker.leaseExpiryMs, inheritedMs);
   }
 
+  /** Returns a time after which no previous owner has read or started anything. */
+  long previousOwnersStoppedMs() {
+    return leasesEndMs - policy.longestLeaseMs();
+  }
+
   boolean areLeasesOver(long nowMs) {
     return nowMs > leasesEndMs;
   }
--- a/src/test/java/org/plantainloom/coordination/dispatch/HandoverFaults.java
+++ b/src/test/java/org/plantainloom/coordination/dispatch/HandoverFaults.java
@@ -201,14 +201,18 @@
                 simulation.nowMs() + 200 + random.nextInt(6_000),
                 random.nextBoolean()));
     simulation.replaceOwner();
-    simulation.currentOwner().delayWatch(drawWatchDelayMs());
+    disturbWatch(simulation.currentOwner());
     for (int i = random.nextInt(3); i >= 0; i--) {
       simulation.after(random.nextInt(2_200), simulation::submit);
     }
   }
 
-  private long drawWatchDelayMs() {
-    return random.nextInt(5) == 0 ? random.nextInt(2_000) : 1 + random.nextInt(60);
+  private void disturbWatch(HandoverOwner owner) {
+    if (random.nextInt(5) == 0) {
+      owner.silenceWatch(random.nextInt(14_000));
+    } else {
+      owner.delayWatch(1 + random.nextInt(60));
+    }
   }
 
   void scheduleStaleLists() {
--- a/src/test/java/org/plantainloom/coordination/dispatch/HandoverOwner.java
+++ b/src/test/java/org/plantainloom/coordination/dispatch/HandoverOwner.java
@@ -32,6 +32,8 @@
   /** How long this process's watch is behind the store. */
   private long watchDelayMs;
 
+  private long watchSilentUntilMs;
+
   private long fleetRevision;
   private boolean writing;
 
@@ -69,6 +71,7 @@
     }
     knownJobs = store.jobs().size();
     dispatcher.jobsRestored();
+    dispatcher.jobsKnownAsOf(time(), wallTime());
   }
 
   int term() {
@@ -119,6 +122,11 @@
     watchDelayMs = delayMs;
   }
 
+  /** Makes this process learn of no new jobs for a time. */
+  void silenceWatch(long durationMs) {
+    watchSilentUntilMs = simulation.nowMs() + durationMs;
+  }
+
   void receive(Runnable reply) {
     if (!stopped) {
       waitingReplies.add(reply);
@@ -197,6 +205,10 @@
   }
 
   private void readJobs() {
+    if (simulation.nowMs() < watchSilentUntilMs) {
+      return;
+    }
+    dispatcher.jobsKnownAsOf(time() - watchDelayMs, wallTime() - watchDelayMs);
     List<JobSpec> jobs = simulation.store().jobs();
     while (knownJobs < jobs.size()) {
       JobSpec job = jobs.get(knownJobs++);
