Bound how late a start leaves the client

A start that was decided in time could still leave late: its timeout of 600 ms began when the request had been sent, after up to 500 ms to connect, and after the timeout the connection was closed in the usual way, so that the system went on sending what a cut had held back, for as long as TCP retries. The worker's lease time was the only bound, 6 s.

The timeout of a start now includes the time to connect, and a start that isn't written by then is not sent. Connections are closed with a linger of zero, which discards what was not delivered.

LateCommandTest fails without the linger: the worker reads the start and an orderly end of the connection after the owner has given up. The timeout from the start is not tested: loopback connects at once.

--- a/src/main/java/org/plantainloom/platform/PlatformHttpClient.java
+++ b/src/main/java/org/plantainloom/platform/PlatformHttpClient.java
@@ -2,6 +2,7 @@
 
 import com.linecorp.armeria.client.ClientFactory;
 import com.linecorp.armeria.client.RequestOptions;
+import com.linecorp.armeria.client.ResponseTimeoutMode;
 import com.linecorp.armeria.client.UnprocessedRequestException;
 import com.linecorp.armeria.client.WebClient;
 import com.linecorp.armeria.common.AggregatedHttpResponse;
@@ -15,6 +16,7 @@
 import com.linecorp.armeria.common.RequestHeadersBuilder;
 import com.linecorp.armeria.common.RequestTarget;
 import com.linecorp.armeria.common.metric.NoopMeterRegistry;
+import io.netty.channel.ChannelOption;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 
@@ -47,6 +49,8 @@
             .tlsProvider(host -> null)
             .connectTimeoutMillis(CONNECT_TIMEOUT_MS)
             .idleTimeoutMillis(IDLE_TIMEOUT_MS)
+            // Closing a connection after a timeout discards what the network has not taken yet.
+            .channelOption(ChannelOption.SO_LINGER, 0)
             .build();
     this.client =
         WebClient.builder().factory(factory).maxResponseLength(MAX_RESPONSE_BYTES).build();
@@ -66,8 +70,9 @@
   }
 
   /**
-   * Sends a request. Its target and headers may come from entries that other systems write, so they
-   * may be invalid; the request is then {@link PlatformHttpReply#NOT_SENT}.
+   * Sends a request and waits for the response from when it was sent. Its target and headers may
+   * come from entries that other systems write, so they may be invalid; the request is then {@link
+   * PlatformHttpReply#NOT_SENT}.
    */
   CompletableFuture<PlatformHttpReply> send(
       HttpMethod method,
@@ -76,6 +81,33 @@
       Map<String, String> extraHeaders,
       String body,
       long timeoutMs) {
+    RequestOptions options = RequestOptions.builder().responseTimeoutMillis(timeoutMs).build();
+    return send(method, address, path, extraHeaders, body, options);
+  }
+
+  /** Sends a request, but not after the timeout, which includes the time to connect. */
+  CompletableFuture<PlatformHttpReply> sendWithin(
+      HttpMethod method,
+      String address,
+      String path,
+      Map<String, String> extraHeaders,
+      String body,
+      long timeoutMs) {
+    RequestOptions options =
+        RequestOptions.builder()
+            .responseTimeoutMillis(timeoutMs)
+            .responseTimeoutMode(ResponseTimeoutMode.FROM_START)
+            .build();
+    return send(method, address, path, extraHeaders, body, options);
+  }
+
+  private CompletableFuture<PlatformHttpReply> send(
+      HttpMethod method,
+      String address,
+      String path,
+      Map<String, String> extraHeaders,
+      String body,
+      RequestOptions options) {
     String url = "h1c://" + address + path;
     HttpResponse response;
     try {
@@ -84,7 +116,6 @@
       if (!body.isEmpty()) {
         headers.contentType(MediaType.JSON);
       }
-      RequestOptions options = RequestOptions.builder().responseTimeoutMillis(timeoutMs).build();
       response = client.execute(HttpRequest.of(headers.build(), HttpData.ofUtf8(body)), options);
     } catch (RuntimeException e) {
       return CompletableFuture.completedFuture(
--- a/src/main/java/org/plantainloom/platform/PlatformWorkers.java
+++ b/src/main/java/org/plantainloom/platform/PlatformWorkers.java
@@ -65,7 +65,16 @@
     if (!command.permit().isEmpty()) {
       body.put("ticket", command.permit());
     }
-    return sendCommand(worker, "/-/run-start", body);
+    // A start that is sent late may follow the acknowledgement of its job's cancellation.
+    return client
+        .sendWithin(
+            HttpMethod.POST,
+            worker.address(),
+            "/-/run-start",
+            expectedInstance(worker),
+            body.toString(),
+            COMMAND_TIMEOUT_MS)
+        .thenApply(PlatformWorkers::commandReply);
   }
 
   @Override
@@ -100,11 +109,15 @@
         HttpMethod.POST,
         worker.address(),
         path,
-        Map.of("x-expected-instance", worker.id()),
+        expectedInstance(worker),
         body.toString(),
         timeoutMs);
   }
 
+  private static Map<String, String> expectedInstance(WorkerRegistration worker) {
+    return Map.of("x-expected-instance", worker.id());
+  }
+
   private static CommandReply commandReply(PlatformHttpReply reply) {
     if (reply.isOk()) {
       return CommandReply.OK;
