Let the simulated store write late and the simulated workers start late

The platform may carry out a call without a response seconds later: a write of a node, or a start at a worker. It may also leave watches without a response while it serves other calls. The stand-in could do none of this, so that no test of whole processes met these faults.

A StoreView delays the writes of its node and silences its watches; a worker delays its starts, and says so of the run that it reports.

--- a/src/main/java/org/plantainloom/platform/standin/SimulatedPlatform.java
+++ b/src/main/java/org/plantainloom/platform/standin/SimulatedPlatform.java
@@ -258,11 +258,25 @@
     workers.get(worker).setFailing(failing);
   }
 
+  /**
+   * Makes a worker leave start commands unanswered and carry them out later.
+   *
+   * @param delayMs the delay in milliseconds; 0 for none
+   */
+  public void setWorkerStartDelay(int worker, long delayMs) {
+    workers.get(worker).setStartDelay(delayMs);
+  }
+
   /** Writes a key of the store without a lease, as another writer may. */
   public void overwrite(String key, String value) {
     store.put(key, value);
   }
 
+  /** Removes a key of the store, as another writer may. */
+  public void remove(String key) {
+    store.remove(key);
+  }
+
   /** Returns the value of a key of the store; empty if there is none. */
   public String storedValue(String key) {
     return store.value(key);
--- a/src/main/java/org/plantainloom/platform/standin/SimulatedWorker.java
+++ b/src/main/java/org/plantainloom/platform/standin/SimulatedWorker.java
@@ -26,6 +26,8 @@
 final class SimulatedWorker {
   private static final ObjectMapper JSON = new ObjectMapper();
 
+  private static final String START_PATH = "/-/run-start";
+
   /** Tail latency that the worker reports for each run. */
   private static final int TAIL_LATENCY_MS = 5;
 
@@ -55,6 +57,7 @@
   private long lastEndNumber;
   private boolean failing;
   private boolean up = true;
+  private long startDelayMs;
 
   /** Rises whenever the worker is shut down. */
   private long life;
@@ -160,6 +163,11 @@
     failing = newFailing;
   }
 
+  /** Leaves start commands unanswered and carries them out later; 0 for at once. */
+  synchronized void setStartDelay(long newDelayMs) {
+    startDelayMs = newDelayMs;
+  }
+
   private long nowMs() {
     return clock.nowMs();
   }
@@ -169,14 +177,30 @@
       return HttpResponse.of(new CompletableFuture<>());
     }
     JsonNode body = JSON.readTree(request.contentUtf8());
+    if (startDelayMs > 0 && request.path().equals(START_PATH)) {
+      long expectedStartMs = startedAtMs;
+      timers.schedule(() -> startLater(body, expectedStartMs), startDelayMs, TimeUnit.MILLISECONDS);
+      return HttpResponse.of(new CompletableFuture<>());
+    }
+    return handle(request.path(), body, false);
+  }
+
+  /** Carries out a start command that was left unanswered, unless the worker restarted. */
+  private synchronized void startLater(JsonNode body, long expectedStartMs) {
+    if (up && startedAtMs == expectedStartMs) {
+      handle(START_PATH, body, true);
+    }
+  }
+
+  private HttpResponse handle(String path, JsonNode body, boolean delayed) {
     expireLease();
     long token = body.path("fencing-token").asLong();
     if (token < highestFencingToken) {
       return reject("fence");
     }
     highestFencingToken = token;
-    return switch (request.path()) {
-      case "/-/run-start" -> start(body);
+    return switch (path) {
+      case START_PATH -> start(body, delayed);
       case "/-/run-stop" -> stop(body);
       case "/-/pace" -> ok();
       case "/-/hold" -> poll(body);
@@ -184,7 +208,7 @@
     };
   }
 
-  private HttpResponse start(JsonNode body) {
+  private HttpResponse start(JsonNode body, boolean delayed) {
     String task = body.path("task-id").asText();
     long runNumber = body.path("run-id").asLong();
     Run current = activeRuns.get(task);
@@ -202,7 +226,7 @@
     Matcher duration = DURATION.matcher(payload);
     Run run =
         new Run(
-            new ObservedRun(task, runNumber, id, zone, startedAtMs, highestFencingToken),
+            new ObservedRun(task, runNumber, id, zone, startedAtMs, highestFencingToken, delayed),
             nowMs(),
             duration.find() ? Long.parseLong(duration.group(1)) : taskMs);
     activeRuns.put(task, run);
--- a/src/main/java/org/plantainloom/platform/standin/StoreView.java
+++ b/src/main/java/org/plantainloom/platform/standin/StoreView.java
@@ -13,7 +13,10 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Base64;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.function.IntSupplier;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
@@ -25,6 +28,8 @@
 public final class StoreView {
   private static final ObjectMapper JSON = new ObjectMapper();
   private static final String VALUE_FIELD = "value";
+  private static final String WATCH_PATH = "/-/kv-watch";
+  private static final String TRANSACTION_PATH = "/-/kv-txn";
 
   /** Greedy, so that an address is never taken for the beginning of a longer one. */
   private static final Pattern ADDRESS = Pattern.compile("127\\.0\\.0\\.1:\\d+");
@@ -33,6 +38,8 @@
   private final Map<String, String> seenAddresses = new ConcurrentHashMap<>();
   private final Map<String, String> ownAddresses = new ConcurrentHashMap<>();
   private volatile boolean rejecting;
+  private volatile boolean watchesSilent;
+  private volatile IntSupplier writeDelayMs = () -> 0;
   private volatile String address = "";
 
   StoreView(SimulatedStore store) {
@@ -59,6 +66,23 @@
     rejecting = newRejecting;
   }
 
+  /**
+   * Makes the store leave all watches of this node without a response, or respond to new ones
+   * again. A watch that was silent once stays so.
+   */
+  public void setWatchesSilent(boolean newSilent) {
+    watchesSilent = newSilent;
+  }
+
+  /**
+   * Makes the store carry out transactions of this node late and without a response.
+   *
+   * @param delayMs supplies the delay of each transaction in milliseconds; 0 for none
+   */
+  public void delayWrites(IntSupplier delayMs) {
+    writeDelayMs = delayMs;
+  }
+
   HttpResponse handle(AggregatedHttpRequest request) throws IOException {
     if (rejecting) {
       return HttpResponse.of(HttpStatus.SERVICE_UNAVAILABLE);
@@ -69,7 +93,33 @@
             : AggregatedHttpRequest.of(
                 request.headers(),
                 HttpData.ofUtf8(translate(request.contentUtf8(), ownAddresses).toString()));
-    return HttpResponse.of(store.handle(translated).aggregate().thenApply(this::translate));
+    boolean isWatch = request.path().startsWith(WATCH_PATH);
+    int delayMs = request.path().equals(TRANSACTION_PATH) ? writeDelayMs.getAsInt() : 0;
+    if (isWatch && watchesSilent) {
+      return withoutResponse();
+    } else if (delayMs > 0) {
+      CompletableFuture.delayedExecutor(delayMs, TimeUnit.MILLISECONDS)
+          .execute(() -> carryOut(translated));
+      return withoutResponse();
+    }
+    return HttpResponse.of(
+        store
+            .handle(translated)
+            .aggregate()
+            .thenApply(
+                response -> isWatch && watchesSilent ? withoutResponse() : translate(response)));
+  }
+
+  private static HttpResponse withoutResponse() {
+    return HttpResponse.of(new CompletableFuture<>());
+  }
+
+  private void carryOut(AggregatedHttpRequest request) {
+    try {
+      store.handle(request);
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
   }
 
   private HttpResponse translate(AggregatedHttpResponse response) {
