Judge cancellations in the soak by their rule

Runs in which the owner is cut off granted each start 10 s after the acknowledgement of its job's cancellation, and the other runs did not take 410 for an acknowledgement. A start 9 s after the acknowledgement by a node that was in touch all the time went unnoticed, and so did a task that nobody stopped.

A start is now a violation 3 s after the acknowledgement, with 2xx or 410, unless the worker carried it out late, the command was held up on its link, or the schedule of faults says that the node did not run or had no path to the store, or that the store was impaired, within 3 s before the start. After 10 s nothing is excused in runs in which the owner is cut off, as before, and runs with random faults excuse nothing at all, as before. A task that goes on is a violation after 3.4 s of calm. So both kinds of runs accept less than they did.

A violation names task, run, owner, term and acknowledgement with their wall clock times. The tests feed the rule with events: what it reports, and what it excuses.

--- a/src/test/java/org/plantainloom/soak/FaultSchedule.java
+++ b/src/test/java/org/plantainloom/soak/FaultSchedule.java
@@ -7,8 +7,9 @@
 final class FaultSchedule {
   private final List<Fault> active = new ArrayList<>();
   private final List<String> log = new ArrayList<>();
+  private final FaultTimeline timeline = new FaultTimeline();
 
-  private record Fault(String name, long endMs, Action heal) {}
+  private record Fault(String name, FaultScope scope, long startMs, long endMs, Action heal) {}
 
   /** Starts or heals a fault. */
   @FunctionalInterface
@@ -29,9 +30,11 @@
     return active.size();
   }
 
-  void start(String name, long durationMs, Action start, Action heal) throws Exception {
+  void start(String name, FaultScope scope, long durationMs, Action start, Action heal)
+      throws Exception {
     record("started " + name + " for " + durationMs + " ms");
-    active.add(new Fault(name, SoakRun.nowMs() + durationMs, heal));
+    long nowMs = SoakRun.nowMs();
+    active.add(new Fault(name, scope, nowMs, nowMs + durationMs, heal));
     start.run();
   }
 
@@ -50,6 +53,7 @@
         active.remove(fault);
         record("healed " + fault.name());
         fault.heal().run();
+        timeline.add(fault.scope(), fault.startMs(), SoakRun.nowMs());
       }
     }
   }
@@ -59,6 +63,19 @@
     log.add(SoakRun.nowMs() + " " + System.currentTimeMillis() + " " + event);
   }
 
+  /** Carries out a fault that is over at once. */
+  void strike(String name, FaultScope scope, Action action) throws Exception {
+    record(name);
+    long startMs = SoakRun.nowMs();
+    action.run();
+    timeline.add(scope, startMs, SoakRun.nowMs());
+  }
+
+  /** Returns when which faults were active; those that are active now are not in it. */
+  FaultTimeline timeline() {
+    return timeline;
+  }
+
   List<String> log() {
     return List.copyOf(log);
   }
--- a/src/test/java/org/plantainloom/soak/InvariantChecker.java
+++ b/src/test/java/org/plantainloom/soak/InvariantChecker.java
@@ -6,6 +6,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalInt;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
@@ -21,10 +22,7 @@
   /** Marks violations of the rule that a task runs once. */
   static final String RAN_TWICE = "ran twice";
 
-  /** A start later than this time after the job's cancellation was acknowledged is a violation. */
-  private static final long CANCEL_GRACE_MS = 3_000;
-
-  private final long cancelGraceMs;
+  private final RunHistory history = new RunHistory(SoakRun::nowMs);
   private final Map<String, SoakJob> jobs = new HashMap<>();
   private final Map<String, Set<ObservedRun>> running = new HashMap<>();
   private final Map<String, Integer> cpuInUse = new TreeMap<>();
@@ -44,21 +42,6 @@
   private final List<String> violations = new ArrayList<>();
   private int starts;
 
-  /** Creates a checker for nodes that are never cut off from the store for long. */
-  InvariantChecker() {
-    this(CANCEL_GRACE_MS);
-  }
-
-  /**
-   * Creates a checker.
-   *
-   * @param cancelGraceMs time after the acknowledgement of a cancellation until which a task of the
-   *     job may start
-   */
-  InvariantChecker(long cancelGraceMs) {
-    this.cancelGraceMs = cancelGraceMs;
-  }
-
   /** Registers a job before it is submitted; starts of any other job are violations. */
   synchronized void register(SoakJob job) {
     jobs.put(job.id(), job);
@@ -69,9 +52,23 @@
     ownersByTerm.put(term, node);
   }
 
+  /** Returns the number of the node that owned a term; empty if it is not known. */
+  OptionalInt owner(long term) {
+    String name = ownersByTerm.get(term);
+    return name == null
+        ? OptionalInt.empty()
+        : OptionalInt.of(Integer.parseInt(name.substring(name.lastIndexOf('-') + 1)));
+  }
+
+  /** Returns all runs, for rules that are judged after the run. */
+  RunHistory history() {
+    return history;
+  }
+
   @Override
   public synchronized void started(ObservedRun run, String payload) {
     starts++;
+    history.started(run, payload);
     String task = run.task();
     TaskKey key = TaskKey.parse(task).orElseThrow();
     SoakJob job = jobs.get(key.jobId());
@@ -81,9 +78,6 @@
     }
     check(job.payload().equals(payload), "started with another payload: " + task);
     check(!job.rejected, "started although all submissions of its job were rejected: " + task);
-    check(
-        job.cancelAcknowledgedMs == 0 || SoakRun.nowMs() - job.cancelAcknowledgedMs < cancelGraceMs,
-        "started too long after its job was cancelled: " + task);
     checkRunsOnce(run);
     for (int i = 0; key.phase() > 0 && i < job.width(); i++) {
       String predecessor = new TaskKey(key.jobId(), 0, key.phase() - 1, i).toString();
@@ -142,6 +136,7 @@
 
   @Override
   public synchronized void ended(ObservedRun run, String outcome) {
+    history.ended(run, outcome);
     Set<ObservedRun> current = running.getOrDefault(run.task(), new HashSet<>());
     current.remove(run);
     if (current.isEmpty()) {
--- a/src/test/java/org/plantainloom/soak/NetworkCut.java
+++ b/src/test/java/org/plantainloom/soak/NetworkCut.java
@@ -2,8 +2,10 @@
 
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Random;
+import java.util.Set;
 import java.util.function.IntPredicate;
 
 /** A cut between an inner part of the network, in which the owner is, and the rest. */
@@ -14,6 +16,8 @@
   private final String name;
   private final List<Path> paths = new ArrayList<>();
   private final List<Integer> silentWorkers = new ArrayList<>();
+  private final Set<Integer> nodesWithoutStore = new HashSet<>();
+  private final Set<FaultScope.Link> cutLinks = new HashSet<>();
 
   private record Path(FaultProxy proxy, FaultProxy.Mode mode) {}
 
@@ -58,6 +62,7 @@
       @Override
       void addPaths(NetworkCut cut, int owner, Random random) {
         cut.addOutward(cut.network.storeProxy(owner));
+        cut.nodesWithoutStore.add(owner);
       }
     },
     OWNER_FROM_SOME_WORKERS(2) {
@@ -65,11 +70,20 @@
       void addPaths(NetworkCut cut, int owner, Random random) {
         for (int worker = 0; worker < cut.network.workers(); worker++) {
           if (random.nextBoolean()) {
-            cut.addOutward(cut.network.workerProxy(owner, worker));
+            cut.addWorker(owner, worker);
           }
         }
       }
     },
+    /** Drawn only by runs that ask for it. */
+    OWNER_FROM_ALL_WORKERS(0) {
+      @Override
+      void addPaths(NetworkCut cut, int owner, Random random) {
+        for (int worker = 0; worker < cut.network.workers(); worker++) {
+          cut.addWorker(owner, worker);
+        }
+      }
+    },
     ZONE_OF_OWNER(5) {
       @Override
       void addPaths(NetworkCut cut, int owner, Random random) {
@@ -111,7 +125,11 @@
 
   /** Draws a cut around a node. */
   static NetworkCut draw(SoakNetwork network, int owner, Random random) {
-    Shape shape = Shape.draw(random);
+    return draw(network, Shape.draw(random), owner, random);
+  }
+
+  /** Draws a cut of a shape around a node. */
+  static NetworkCut draw(SoakNetwork network, Shape shape, int owner, Random random) {
     Direction direction = Direction.draw(random);
     boolean holdsBytes = random.nextBoolean();
     String name =
@@ -125,6 +143,10 @@
     return name;
   }
 
+  FaultScope scope() {
+    return new FaultScope(false, nodesWithoutStore, holdsBytes ? cutLinks : Set.of());
+  }
+
   void start() {
     paths.forEach(path -> path.proxy().addFault(path.mode()));
     silentWorkers.forEach(worker -> network.platform().setWorkerReachesStore(worker, false));
@@ -139,6 +161,11 @@
     paths.add(new Path(proxy, direction.mode(holdsBytes)));
   }
 
+  private void addWorker(int node, int worker) {
+    addOutward(network.workerProxy(node, worker));
+    cutLinks.add(new FaultScope.Link(node, worker));
+  }
+
   private void addInward(FaultProxy proxy) {
     paths.add(new Path(proxy, direction.reversed().mode(holdsBytes)));
   }
@@ -157,8 +184,14 @@
     for (int node = 0; node < network.nodes().size(); node++) {
       boolean fromInner = isInnerNode.test(node);
       addIfCrossing(network.storeProxy(node), fromInner, isStoreInner);
+      if (fromInner != isStoreInner) {
+        nodesWithoutStore.add(node);
+      }
       for (int worker = 0; worker < network.workers(); worker++) {
         addIfCrossing(network.workerProxy(node, worker), fromInner, isInnerWorker.test(worker));
+        if (fromInner != isInnerWorker.test(worker)) {
+          cutLinks.add(new FaultScope.Link(node, worker));
+        }
       }
       for (int other = 0; other < network.nodes().size(); other++) {
         addIfCrossing(network.controlProxy(node, other), fromInner, isInnerNode.test(other));
--- a/src/test/java/org/plantainloom/soak/PartitionSoakRun.java
+++ b/src/test/java/org/plantainloom/soak/PartitionSoakRun.java
@@ -7,7 +7,6 @@
 import java.util.List;
 import java.util.OptionalInt;
 import java.util.Random;
-import java.util.function.BiConsumer;
 
 /**
  * One run of the soak test in which the owner, its zone or some of its workers are cut off in
@@ -34,20 +33,15 @@
    * An owner that is cut off may order starts for 2 s, and a start that is held up is refused only
    * once its lease of 6 s is over.
    */
-  private static final long CANCEL_GRACE_MS = 10_000;
+  private static final long LONGEST_EXCUSE_MS = 10_000;
 
   private final Profile profile;
   private final Random random;
   private final Path directory;
-  private final InvariantChecker checker = new InvariantChecker(CANCEL_GRACE_MS);
+  private final InvariantChecker checker = new InvariantChecker();
   private final FaultSchedule faults = new FaultSchedule();
   private final SoakNetwork network;
-
-  private record Range(int min, int max) {
-    int draw(Random random) {
-      return min + random.nextInt(max - min);
-    }
-  }
+  private final FaultInjector injector;
 
   /** Which faults a run has, and when. */
   private enum Profile {
@@ -95,6 +89,7 @@
     this.random = new Random(seed);
     this.directory = directory;
     this.network = SoakNetwork.start(directory, checker);
+    this.injector = new FaultInjector(network, checker, faults, random);
   }
 
   /** Starts the processes of a run. */
@@ -128,6 +123,12 @@
       callers.awaitSettled();
     }
     List<String> violations = new ArrayList<>(checker.violations());
+    CancellationRule rule = new CancellationRule(callers.jobs(), faults.timeline(), checker::owner);
+    List<RunHistory.Entry> runs = checker.history().entries();
+    rule.lateStarts(runs, LONGEST_EXCUSE_MS)
+        .forEach(violation -> violations.add(violation.toString()));
+    rule.lateStops(runs, SoakRun.nowMs())
+        .forEach(violation -> violations.add(violation.toString()));
     Files.write(directory.resolve("faults.log"), faults.log());
     Files.write(directory.resolve("broken.log"), violations);
     return violations;
@@ -163,74 +164,30 @@
     int node = random.nextInt(network.nodes().size());
     int worker = random.nextInt(network.workers());
     if (kind < profile.cuts) {
-      startCut(NetworkCut.draw(network, owner.orElse(node), random));
+      injector.cut(NetworkCut.draw(network, owner.orElse(node), random), CUT_MS);
     } else if (kind < 15) {
       storeFault(node);
     } else if (kind < 18) {
-      processFault(network.nodes().get(owner.isPresent() && kind < 17 ? owner.getAsInt() : node));
+      processFault(owner.isPresent() && kind < 17 ? owner.getAsInt() : node);
     } else {
-      startFault(
-          "worker " + worker,
-          REBOOT_MS,
-          () -> network.platform().shutDownWorker(worker),
-          () -> network.platform().bootWorker(worker));
+      injector.reboot(worker, REBOOT_MS);
     }
   }
 
-  private void startCut(NetworkCut cut) throws Exception {
-    startFault(cut.name(), CUT_MS, cut::start, cut::heal);
-  }
-
   private void storeFault(int node) throws Exception {
     switch (random.nextInt(4)) {
-      case 0 ->
-          startFault(
-              "store down",
-              FAULT_MS,
-              () -> network.platform().setStoreDown(true),
-              () -> network.platform().setStoreDown(false));
-      case 1 ->
-          startFault(
-              "store silent",
-              FAULT_MS,
-              () -> setStoreSilent(FaultProxy::addFault),
-              () -> setStoreSilent(FaultProxy::removeFault));
-      case 2 ->
-          startFault(
-              "store rejects node-" + node,
-              FAULT_MS,
-              () -> network.storeView(node).setRejecting(true),
-              () -> network.storeView(node).setRejecting(false));
-      default ->
-          startFault(
-              "store silent for node-" + node,
-              FAULT_MS,
-              () -> network.storeProxy(node).addFault(FaultProxy.Mode.DROP_ALL),
-              () -> network.storeProxy(node).removeFault(FaultProxy.Mode.DROP_ALL));
+      case 0 -> injector.takeStoreDown(FAULT_MS);
+      case 1 -> injector.silenceStore(FAULT_MS);
+      case 2 -> injector.rejectAtStore(node, FAULT_MS);
+      default -> injector.silenceStoreFor(node, FAULT_MS);
     }
   }
 
-  private void setStoreSilent(BiConsumer<FaultProxy, FaultProxy.Mode> change) {
-    for (int i = 0; i < network.nodes().size(); i++) {
-      change.accept(network.storeProxy(i), FaultProxy.Mode.DROP_ALL);
-    }
-  }
-
-  private void processFault(SoakNode node) throws Exception {
-    String name = "process " + node.name;
+  private void processFault(int node) throws Exception {
     switch (random.nextInt(4)) {
-      case 0 -> startFault(name, FAULT_MS, node::kill, node::start);
-      case 1 -> startFault(name, FAULT_MS, node::stop, node::start);
-      default -> startFault(name, FAULT_MS, () -> node.suspend(true), () -> node.suspend(false));
-    }
-  }
-
-  /** Starts a fault, unless the same one is active. */
-  private void startFault(
-      String name, Range durationMs, FaultSchedule.Action start, FaultSchedule.Action heal)
-      throws Exception {
-    if (!faults.isActive(name)) {
-      faults.start(name, durationMs.draw(random), start, heal);
+      case 0 -> injector.kill(node, FAULT_MS);
+      case 1 -> injector.stop(node, FAULT_MS);
+      default -> injector.suspend(node, FAULT_MS);
     }
   }
 
--- a/src/test/java/org/plantainloom/soak/SoakCallers.java
+++ b/src/test/java/org/plantainloom/soak/SoakCallers.java
@@ -8,6 +8,7 @@
 import com.linecorp.armeria.common.RequestHeaders;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.ToIntFunction;
@@ -29,6 +30,9 @@
   private static final int MAX_LONG_RUNNING_JOBS = 3;
   private static final int MAX_JOB_CPU_MILLIS = 3_000;
 
+  /** Status of a response that says that there is no such job. */
+  private static final int GONE = 410;
+
   private final List<WebClient> nodes = new ArrayList<>();
   private final List<SoakJob> jobs = new ArrayList<>();
   private final InvariantChecker checker;
@@ -72,26 +76,40 @@
     SoakJob known = jobs.isEmpty() ? null : jobs.get(random.nextInt(jobs.size()));
     if (action == 0 && known != null && known.accepted) {
       cancel(known);
-    } else if (action <= 2
-        && known != null
-        && known.outcomeUnknown
-        && !known.accepted
-        && !known.inFlight) {
+    } else if (action <= 2 && known != null && known.mayBeRepeated()) {
       submit(known);
     } else {
-      SoakJob job = newJob();
-      jobs.add(job);
-      checker.register(job);
-      submit(job);
+      submitNew(newJob());
+    }
+  }
+
+  /** Submits a job for the first time, and returns the status of the response; 0 if none came. */
+  CompletableFuture<Integer> submitNew(SoakJob job) {
+    jobs.add(job);
+    checker.register(job);
+    return submit(job);
+  }
+
+  /** Repeats one of the submissions that had no response, if there are any. */
+  void repeatUnanswered() {
+    List<SoakJob> unanswered = jobs.stream().filter(SoakJob::mayBeRepeated).toList();
+    if (!unanswered.isEmpty()) {
+      submit(unanswered.get(random.nextInt(unanswered.size())));
     }
   }
 
+  String drawId() {
+    return String.format("%016x", random.nextLong());
+  }
+
   private SoakJob newJob() {
     long open =
-        jobs.stream().filter(job -> job.longRunning() && job.cancelAcknowledgedMs == 0).count();
+        jobs.stream()
+            .filter(job -> job.longRunning() && job.cancelAcknowledgement().isEmpty())
+            .count();
     boolean longRunning = open < MAX_LONG_RUNNING_JOBS && random.nextInt(6) == 0;
     return new SoakJob(
-        String.format("%016x", random.nextLong()),
+        drawId(),
         longRunning ? 1 : 1 + random.nextInt(3),
         1 + random.nextInt(3),
         250 + random.nextInt(MAX_JOB_CPU_MILLIS / 4),
@@ -100,10 +118,10 @@
   }
 
   /** Submits a job to a random node, without waiting for the response. */
-  private void submit(SoakJob job) {
+  private CompletableFuture<Integer> submit(SoakJob job) {
     job.inFlight = true;
-    send(HttpMethod.POST, job.id(), job.body())
-        .thenAccept(
+    return send(drawNode(), HttpMethod.POST, job.id(), job.body())
+        .thenApply(
             status -> {
               if (status / 100 == 2) {
                 job.accepted = true;
@@ -114,23 +132,39 @@
                 job.outcomeUnknown = true;
               }
               job.inFlight = false;
+              return status;
             });
   }
 
-  private void cancel(SoakJob job) {
+  /** Cancels a job at a random node; the result is whether that was acknowledged. */
+  CompletableFuture<Boolean> cancel(SoakJob job) {
+    return cancel(job, drawNode());
+  }
+
+  /** Cancels a job at all nodes at once. */
+  void cancelEverywhere(SoakJob job) {
+    for (int node = 0; node < nodes.size(); node++) {
+      cancel(job, node);
+    }
+  }
+
+  private CompletableFuture<Boolean> cancel(SoakJob job, int node) {
     job.cancelRequested = true;
-    send(HttpMethod.DELETE, job.id(), "")
-        .thenAccept(
+    return send(node, HttpMethod.DELETE, job.id(), "")
+        .thenApply(
             status -> {
-              if (status / 100 == 2 && job.cancelAcknowledgedMs == 0) {
-                job.cancelAcknowledgedMs = SoakRun.nowMs();
+              boolean acknowledged = status / 100 == 2 || status == GONE;
+              if (acknowledged) {
+                job.acknowledgeCancellation(
+                    new Acknowledgement(SoakRun.nowMs(), node, status, job.submission()));
               }
+              return acknowledged;
             });
   }
 
   /** Returns the response of a random node about a job's state; empty if there is none. */
   String state(SoakJob job) {
-    return request(HttpMethod.GET, job.id(), "")
+    return request(drawNode(), HttpMethod.GET, job.id(), "")
         .handle((response, failure) -> failure == null ? response.contentUtf8() : "")
         .join();
   }
@@ -150,7 +184,7 @@
               + " accepted="
               + job.accepted
               + " cancelled="
-              + (job.cancelAcknowledgedMs != 0)
+              + job.cancelAcknowledgement().isPresent()
               + " longRunning="
               + job.longRunning()
               + " running="
@@ -170,8 +204,12 @@
     String state = state(job);
     long running = checker.runningTasks(job.id());
     if (job.cancelRequested) {
-      boolean ended = state.contains("cancelled") || state.contains("completed");
-      return (ended || state.contains("failed")) ? running == 0 : job.cancelAcknowledgedMs == 0;
+      Optional<Acknowledgement> ack = job.cancelAcknowledgement();
+      boolean ended =
+          state.contains("cancelled") || state.contains("completed") || state.contains("failed");
+      return (ended || ack.filter(a -> a.status() == GONE).isPresent())
+          ? running == 0
+          : ack.isEmpty();
     }
     if (job.longRunning()) {
       return state.contains("active") && running == job.width();
@@ -180,18 +218,22 @@
     return (state.contains("completed") || state.contains("failed")) && running == 0;
   }
 
-  private CompletableFuture<Integer> send(HttpMethod method, String id, String body) {
-    return request(method, id, body)
+  private int drawNode() {
+    return random.nextInt(nodes.size());
+  }
+
+  private CompletableFuture<Integer> send(int node, HttpMethod method, String id, String body) {
+    return request(node, method, id, body)
         .handle((response, failure) -> failure == null ? response.status().code() : 0);
   }
 
   private CompletableFuture<AggregatedHttpResponse> request(
-      HttpMethod method, String id, String body) {
+      int node, HttpMethod method, String id, String body) {
     RequestHeaders headers =
         RequestHeaders.builder(method, SimulatedPlatform.JOB_PATH_PREFIX + id)
             .contentType(MediaType.JSON)
             .set(HttpHeaderNames.HOST, SimulatedPlatform.QUEUE_HOST)
             .build();
-    return nodes.get(random.nextInt(nodes.size())).execute(headers, body).aggregate();
+    return nodes.get(node).execute(headers, body).aggregate();
   }
 }
--- a/src/test/java/org/plantainloom/soak/SoakJob.java
+++ b/src/test/java/org/plantainloom/soak/SoakJob.java
@@ -1,5 +1,7 @@
 package org.plantainloom.soak;
 
+import java.util.Optional;
+
 /** A job of the soak test: sequential phases of equal width, or long-running tasks. */
 final class SoakJob {
   private final String id;
@@ -22,8 +24,7 @@
   /** Whether a submission had no response, so that the job may exist. */
   volatile boolean outcomeUnknown;
 
-  /** Time at which the cancellation was acknowledged; 0 if it was not. */
-  volatile long cancelAcknowledgedMs;
+  private volatile Optional<Acknowledgement> cancelAcknowledgement = Optional.empty();
 
   volatile boolean cancelRequested;
 
@@ -52,6 +53,29 @@
     return longRunning;
   }
 
+  /** Returns the first acknowledgement of the job's cancellation. */
+  Optional<Acknowledgement> cancelAcknowledgement() {
+    return cancelAcknowledgement;
+  }
+
+  synchronized void acknowledgeCancellation(Acknowledgement acknowledgement) {
+    if (cancelAcknowledgement.isEmpty()) {
+      cancelAcknowledgement = Optional.of(acknowledgement);
+    }
+  }
+
+  /** Returns whether the submission had no response, so that the caller sends it again. */
+  boolean mayBeRepeated() {
+    return outcomeUnknown && !accepted && !inFlight && !cancelRequested;
+  }
+
+  /** Returns what the caller knows of the submission. */
+  String submission() {
+    return accepted
+        ? "accepted"
+        : inFlight ? "not answered yet" : rejected ? "rejected" : "without a clear answer";
+  }
+
   String payload() {
     String duration = taskMs == 0 ? "" : " for " + taskMs + " ms";
     return (longRunning ? "serve " : "work ") + id + duration;
--- a/src/test/java/org/plantainloom/soak/SoakNetwork.java
+++ b/src/test/java/org/plantainloom/soak/SoakNetwork.java
@@ -81,6 +81,28 @@
     return Integer.parseInt(address.substring(address.lastIndexOf(':') + 1));
   }
 
+  /** Returns the id that a worker has in the store and in reports of its runs. */
+  static String workerId(int worker) {
+    return "i-" + worker;
+  }
+
+  /** Returns the number of the worker with an id. */
+  static int workerNumber(String workerId) {
+    return Integer.parseInt(workerId.substring(workerId.indexOf('-') + 1));
+  }
+
+  /** Removes the owner's key, so that any node may become the owner. */
+  void removeOwnerKey() {
+    platform.remove(OWNER_KEY);
+  }
+
+  /** Makes a node silent for the others, as a machine without power is. */
+  void silenceControl(int lostNode) {
+    for (int node = 0; node < NODES; node++) {
+      controlProxy(node, lostNode).addFault(FaultProxy.Mode.DROP_ALL);
+    }
+  }
+
   SimulatedPlatform platform() {
     return platform;
   }
--- a/src/test/java/org/plantainloom/soak/SoakNode.java
+++ b/src/test/java/org/plantainloom/soak/SoakNode.java
@@ -81,6 +81,12 @@
     }
   }
 
+  /** Asks the process to stop, without waiting until it is gone. */
+  void requestStop() {
+    endedByTest = true;
+    process.destroy();
+  }
+
   /** Suspends or resumes the process. */
   void suspend(boolean suspended) throws IOException, InterruptedException {
     String signal = suspended ? "-STOP" : "-CONT";
--- a/src/test/java/org/plantainloom/soak/SoakRun.java
+++ b/src/test/java/org/plantainloom/soak/SoakRun.java
@@ -5,6 +5,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.OptionalInt;
 import java.util.Random;
 import org.plantainloom.platform.standin.SimulatedPlatform;
 
@@ -97,6 +98,10 @@
     faults.healAll();
     callers.awaitSettled();
     List<String> violations = new ArrayList<>(checker.violations());
+    // Stricter than the rule: nothing is excused.
+    new CancellationRule(callers.jobs(), new FaultTimeline(), term -> OptionalInt.empty())
+        .lateStarts(checker.history().entries())
+        .forEach(violation -> violations.add(violation.toString()));
     if (!violations.isEmpty()) {
       Files.write(directory.resolve("faults.log"), faults.log());
       Files.write(directory.resolve("broken.log"), violations);
@@ -129,7 +134,8 @@
   private void startFault(String name, FaultSchedule.Action start, FaultSchedule.Action heal)
       throws Exception {
     if (!faults.isActive(name)) {
-      faults.start(name, MIN_FAULT_MS + random.nextInt(FAULT_SPREAD_MS), start, heal);
+      faults.start(
+          name, FaultScope.ofOthers(), MIN_FAULT_MS + random.nextInt(FAULT_SPREAD_MS), start, heal);
     }
   }
 
