Observe unused room while lasting tasks are held back

Callers saw lasting tasks without a run beside free room after changes of owner. The reserve for short tasks gives up room that was unused for two periods of 0.7 s, but counted it only while a lasting task was ready. While a takeover, or a silent worker, held all of them back it counted nothing, and began anew when they were free: its 2.1 s came on top of up to 8.5 s, of which the platform's rule leaves 9 s for both together.

Tasks without a run now count whether they are held back or not, so that what is unused during a takeover is given up with its end. Short tasks that are on time still go first in that round.

LastingTasksBesideRoomTest.should_not_hold_lasting_tasks_back_anew_after_a_takeover_has_held_them_back failed before and passes. The simulation can delay starts and the answers of polls, as at a busy owner.

--- a/src/main/java/org/plantainloom/coordination/dispatch/PhaseState.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/PhaseState.java
@@ -56,6 +56,11 @@
     return false;
   }
 
+  /** Returns whether any task has no run, be it that it waits or is held back. */
+  boolean hasTaskWithoutRun() {
+    return tasks.stream().anyMatch(task -> !task.done && task.runs.isEmpty());
+  }
+
   /** Returns the tasks that are waiting for a worker; for a gang, all of its tasks or none. */
   List<TaskState> waitingTasks(long nowMs) {
     List<TaskState> waiting = new ArrayList<>();
--- a/src/main/java/org/plantainloom/coordination/dispatch/ShortTaskReserve.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/ShortTaskReserve.java
@@ -100,7 +100,8 @@
    *
    * @param usable workers that may get tasks
    * @param lastingCpuMillis what all lasting tasks, running or waiting, need
-   * @param smallestWaitingCpuMillis what the smallest waiting lasting task needs; 0 if none waits
+   * @param smallestWaitingCpuMillis what the smallest lasting task without a run needs, also if it
+   *     is held back; the largest value if there is none
    */
   void update(
       Collection<WorkerState> usable,
@@ -128,7 +129,7 @@
 
   private void giveUpUnused(int waitingCpuMillis, long nowMs) {
     int places = 0;
-    if (waitingCpuMillis > 0) {
+    if (waitingCpuMillis < Integer.MAX_VALUE) {
       for (WorkerState worker : keptWorkers) {
         double free = cpuMillis(worker) - worker.reserved().cpuMillis();
         places += (int) Math.max(0, free / waitingCpuMillis);
--- a/src/main/java/org/plantainloom/coordination/dispatch/TaskStarter.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/TaskStarter.java
@@ -63,8 +63,15 @@
     List<DispatchCommand> commands = new ArrayList<>();
     List<RankedPhase> ready = new ArrayList<>();
     double lastingCpuMillis = 0;
-    int smallestWaitingCpuMillis = 0;
+    int smallestWaitingCpuMillis = Integer.MAX_VALUE;
     for (JobState job : open) {
+      for (PhaseState phase : job.lastingPhases()) {
+        // Held-back tasks count, so that unused room is known when they may start.
+        if (phase.isReady(wallMs) && phase.hasTaskWithoutRun()) {
+          int cpuMillis = Math.max(1, phase.spec.need().cpuMillis());
+          smallestWaitingCpuMillis = Math.min(smallestWaitingCpuMillis, cpuMillis);
+        }
+      }
       if (!takeover.mayStart(job)) {
         continue;
       }
@@ -74,11 +81,6 @@
             lastingCpuMillis += (double) phase.tasks.size() * phase.spec.need().cpuMillis();
           }
           if (phase.isReady(wallMs) && phase.hasWaitingTask(nowMs)) {
-            int cpuMillis = phase.spec.need().cpuMillis();
-            if (phase.spec.lasting()
-                && (smallestWaitingCpuMillis == 0 || cpuMillis < smallestWaitingCpuMillis)) {
-              smallestWaitingCpuMillis = Math.max(1, cpuMillis);
-            }
             ready.add(new RankedPhase(ranking.rank(phase, wallMs), phase));
           }
         }
--- a/src/test/java/org/plantainloom/coordination/dispatch/DispatcherSimulation.java
+++ b/src/test/java/org/plantainloom/coordination/dispatch/DispatcherSimulation.java
@@ -42,6 +42,9 @@
   /** Whether the list of workers can be written. */
   boolean persistingFleet = true;
 
+  /** Time that a start takes to its worker, and an ended run to be seen. */
+  long delayMs;
+
   /** Whether the store confirms the ownership of the current owner. */
   boolean storeReachable = true;
 
@@ -66,9 +69,13 @@
 
   private OptionalLong previousOwnersStoppedMs = OptionalLong.empty();
   private final List<PendingPoll> pendingPolls = new ArrayList<>();
+  private final List<PendingStart> pendingStarts = new ArrayList<>();
   private List<FleetMember> persistedFleet = List.of();
   private long revision;
 
+  /** A start on its way to a worker. */
+  private record PendingStart(DispatchCommand.Start command, SimulatedWorker worker, long dueMs) {}
+
   /** A poll that was sent to one life of a worker; another life does not answer it. */
   private record PendingPoll(
       DispatchCommand.Poll command, SimulatedWorker worker, long startedAtMs, long sentMs) {
@@ -138,6 +145,7 @@
     persistedFleet.forEach(member -> dispatcher.workerInherited(convert(member), nowMs));
     workers.forEach(worker -> dispatcher.workerRegistered(worker.registration, nowMs));
     pendingPolls.clear();
+    pendingStarts.clear();
     persistFleet();
     return this;
   }
@@ -207,6 +215,7 @@
         dispatcher.jobsKnownAsOf(nowMs, nowMs);
       }
       answerPolls();
+      deliverStarts();
       persist();
       List<DispatchCommand> next = dispatcher.decide(nowMs, nowMs);
       commands.addAll(next);
@@ -291,11 +300,23 @@
     }
   }
 
+  private void deliverStarts() {
+    List<PendingStart> due =
+        pendingStarts.stream().filter(start -> nowMs >= start.dueMs()).toList();
+    pendingStarts.removeAll(due);
+    due.forEach(
+        start ->
+            dispatcher.startAnswered(
+                start.command(), start.worker().start(start.command(), taskDurationMs), nowMs));
+  }
+
   private void answerPolls() {
     for (Iterator<PendingPoll> it = pendingPolls.iterator(); it.hasNext(); ) {
       PendingPoll poll = it.next();
       SimulatedWorker worker = poll.worker();
-      boolean due = nowMs >= poll.sentMs() + poll.command().waitMs() || !worker.ended.isEmpty();
+      boolean due =
+          nowMs >= poll.sentMs() + poll.command().waitMs()
+              || (!worker.ended.isEmpty() && nowMs >= poll.sentMs() + delayMs);
       if (poll.isLost() && nowMs >= poll.lossNoticedMs()) {
         it.remove();
         dispatcher.pollAnswered(
@@ -317,7 +338,9 @@
             .filter(w -> w.registration.id().equals(command.worker().id()))
             .findFirst()
             .get();
-    if (command instanceof DispatchCommand.Start start) {
+    if (command instanceof DispatchCommand.Start start && delayMs > 0) {
+      pendingStarts.add(new PendingStart(start, worker, nowMs + delayMs));
+    } else if (command instanceof DispatchCommand.Start start) {
       dispatcher.startAnswered(start, worker.start(start, taskDurationMs), nowMs);
     } else if (command instanceof DispatchCommand.Stop stop) {
       dispatcher.stopAnswered(stop, worker.stop(stop), nowMs);
