List the wait of lasting tasks beside room between two short tasks

Lasting tasks wait while short ones follow one another on the workers that are kept for them. The owner sees no unused room, as each end is followed by a start in the same round; on the workers the room is free from the end until the start has arrived. The platform counts it.

--- a/src/test/java/org/plantainloom/coordination/dispatch/LastingTasksBesideRoomTest.java
+++ b/src/test/java/org/plantainloom/coordination/dispatch/LastingTasksBesideRoomTest.java
@@ -115,6 +115,16 @@
       return simulation.log.stream().filter(line -> line.contains(" caught-up ")).count();
     }
 
+    /** Empties a worker as planned, which is no disturbance. */
+    void drain(SimulatedWorker worker) {
+      worker.registration = worker.drainingRegistration();
+      simulation.dispatcher.workerRegistered(worker.registration, simulation.nowMs);
+      run(2_500);
+      worker.unreachable = true;
+      worker.running.clear();
+      simulation.dispatcher.workerUnregistered(worker.registration.id());
+    }
+
     /** Returns how many tasks of the waiting lasting job that needs the least would fit. */
     int placesOfSmallest() {
       int smallest =
@@ -135,6 +145,24 @@
     return new Object[][] {{1}, {2}, {3}};
   }
 
+  /** Regression (LOST): room that is free between two short tasks counts as room, too. */
+  @Test(dataProvider = "seeds", groups = "known-red")
+  public void should_start_lasting_tasks_beside_room_while_workers_leave_as_planned(long seed) {
+    // given
+    Load load = new Load(seed);
+    load.run(4_000);
+    load.submitLasting(40);
+    load.run(6_000);
+    // when: a worker leaves every 5 s
+    for (int i = 0; i < 8; i++) {
+      load.drain(load.simulation.workers.get(i));
+      load.run(2_500);
+    }
+    load.run(10_000);
+    // then
+    assertThat(load.waits.violations).isEmpty();
+  }
+
   @Test(dataProvider = "seeds")
   public void should_start_lasting_tasks_beside_room_after_all_their_runs_have_lapsed(long seed) {
     // given: more lasting tasks than fit, and short jobs that come during the outage
