--- a/src/main/java/org/plantainloom/coordination/dispatch/Dispatcher.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/Dispatcher.java
@@ -347,7 +347,9 @@
     worker.pollInFlight = false;
     if (reply instanceof PollReply.Answered answered) {
       WorkerSnapshot snapshot =
-          areInheritedJobsKnown(nowMs) ? answered.snapshot() : jobs.knownPart(answered.snapshot());
+          takeover.areJobsKnown(jobsFreshness, nowMs)
+              ? answered.snapshot()
+              : jobs.knownPart(answered.snapshot());
       worker.hasEndsOfUnreadJobs = snapshot.ended().size() < answered.snapshot().ended().size();
       workers.answered(worker);
       pendingCommands.addAll(reconciler.reconcile(worker, snapshot, sentMs, nowMs));
@@ -367,15 +369,6 @@
     }
   }
 
-  /**
-   * Returns whether a run of an unknown job can only be one of a removed job. Before, a previous
-   * owner may have started a job that this one has not read yet, however late its watch is.
-   */
-  private boolean areInheritedJobsKnown(long nowMs) {
-    return takeover.areLeasesOver(nowMs)
-        && jobsFreshness.isKnownAsOf(takeover.previousOwnersStoppedMs());
-  }
-
   /** Handles the answer to a start. */
   public void startAnswered(DispatchCommand.Start start, CommandReply reply, long nowMs) {
     starter.startAnswered();
@@ -431,13 +424,7 @@
 
   /** Returns the number of jobs of a queue of which no task has started yet. */
   public int queuedJobCount(String queue) {
-    int count = 0;
-    for (JobState job : jobs.openJobs()) {
-      if (job.spec.queue().equals(queue) && job.status == JobStatus.QUEUED) {
-        count++;
-      }
-    }
-    return count;
+    return jobs.queuedCount(queue);
   }
 
   /** Returns the status that callers may be told; empty if the job is unknown. */
--- a/src/main/java/org/plantainloom/coordination/dispatch/JobTable.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/JobTable.java
@@ -88,6 +88,14 @@
     return open.values();
   }
 
+  /** Returns the number of jobs of a queue of which no task has started yet. */
+  int queuedCount(String queue) {
+    return (int)
+        open.values().stream()
+            .filter(job -> job.status == JobStatus.QUEUED && job.spec.queue().equals(queue))
+            .count();
+  }
+
   void markChanged(JobState job) {
     job.markDirty();
     dirty.add(job);
--- a/src/main/java/org/plantainloom/coordination/dispatch/Takeover.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/Takeover.java
@@ -146,9 +146,13 @@
     return Math.max(worker.leaseExpiryMs, inheritedMs);
   }
 
-  /** Returns a time after which no previous owner has read or started anything. */
-  long previousOwnersStoppedMs() {
-    return leasesEndMs - policy.longestLeaseMs();
+  /**
+   * Returns whether a run of an unknown job can only be one of a removed job. Before, a previous
+   * owner may have started a job that this one has not read yet, however late its watch is.
+   */
+  boolean areJobsKnown(JobsFreshness jobsFreshness, long nowMs) {
+    long previousOwnersStoppedMs = leasesEndMs - policy.longestLeaseMs();
+    return areLeasesOver(nowMs) && jobsFreshness.isKnownAsOf(previousOwnersStoppedMs);
   }
 
   boolean areLeasesOver(long nowMs) {
