--- a/src/test/java/org/plantainloom/transport/dispatch/HedgedWatchTest.java
+++ b/src/test/java/org/plantainloom/transport/dispatch/HedgedWatchTest.java
@@ -7,14 +7,11 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
-import org.plantainloom.state.store.CommitReply;
-import org.plantainloom.state.store.LeaseReply;
 import org.plantainloom.state.store.ReadReply;
 import org.plantainloom.state.store.StoreEvent;
 import org.plantainloom.state.store.StoreItem;
-import org.plantainloom.state.store.Transaction;
-import org.plantainloom.state.store.TransactionalStore;
 import org.plantainloom.state.store.WatchReply;
+import org.plantainloom.support.UnsupportedStore;
 import org.plantainloom.transport.duty.EventLoop;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
@@ -272,7 +269,7 @@
   }
 
   /** A store whose replies to watch calls the test gives. */
-  private final class SilentStore implements TransactionalStore {
+  private final class SilentStore extends UnsupportedStore {
     @Override
     public CompletableFuture<WatchReply> watch(String prefix, long after, long waitMs) {
       Call call = new Call(after, waitMs, nowMs, new CompletableFuture<>());
@@ -284,30 +281,5 @@
     public CompletableFuture<ReadReply> list(String prefix) {
       return CompletableFuture.completedFuture(new ReadReply.Found(List.of(), REVISION + 5));
     }
-
-    @Override
-    public CompletableFuture<ReadReply> read(String key) {
-      throw new UnsupportedOperationException();
-    }
-
-    @Override
-    public CompletableFuture<CommitReply> commit(Transaction transaction) {
-      throw new UnsupportedOperationException();
-    }
-
-    @Override
-    public CompletableFuture<LeaseReply> grantLease(long ttlMs) {
-      throw new UnsupportedOperationException();
-    }
-
-    @Override
-    public CompletableFuture<LeaseReply> renewLease(long leaseId) {
-      throw new UnsupportedOperationException();
-    }
-
-    @Override
-    public CompletableFuture<LeaseReply> endLease(long leaseId) {
-      throw new UnsupportedOperationException();
-    }
   }
 }
--- a/src/test/java/org/plantainloom/transport/dispatch/JobRegistryTest.java
+++ b/src/test/java/org/plantainloom/transport/dispatch/JobRegistryTest.java
@@ -13,12 +13,10 @@
 import org.plantainloom.state.job.JobSpec;
 import org.plantainloom.state.job.PhaseSpec;
 import org.plantainloom.state.store.CommitReply;
-import org.plantainloom.state.store.LeaseReply;
 import org.plantainloom.state.store.ReadReply;
 import org.plantainloom.state.store.StoreItem;
 import org.plantainloom.state.store.Transaction;
-import org.plantainloom.state.store.TransactionalStore;
-import org.plantainloom.state.store.WatchReply;
+import org.plantainloom.support.UnsupportedStore;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
@@ -184,7 +182,7 @@
   }
 
   /** A store that checks the required revisions, and carries out some transactions late. */
-  private static final class LateStore implements TransactionalStore {
+  private static final class LateStore extends UnsupportedStore {
     final TreeMap<String, StoreItem> items = new TreeMap<>();
     long revision = 1;
     private final List<Transaction> delayed = new ArrayList<>();
@@ -256,25 +254,5 @@
               items.values().stream().filter(item -> item.key().startsWith(prefix)).toList(),
               revision));
     }
-
-    @Override
-    public CompletableFuture<WatchReply> watch(String prefix, long after, long waitMs) {
-      throw new UnsupportedOperationException();
-    }
-
-    @Override
-    public CompletableFuture<LeaseReply> grantLease(long ttlMs) {
-      throw new UnsupportedOperationException();
-    }
-
-    @Override
-    public CompletableFuture<LeaseReply> renewLease(long leaseId) {
-      throw new UnsupportedOperationException();
-    }
-
-    @Override
-    public CompletableFuture<LeaseReply> endLease(long leaseId) {
-      throw new UnsupportedOperationException();
-    }
   }
 }
--- a/src/test/java/org/plantainloom/transport/dispatch/OwnershipConfirmationsTest.java
+++ b/src/test/java/org/plantainloom/transport/dispatch/OwnershipConfirmationsTest.java
@@ -15,12 +15,9 @@
 import org.plantainloom.coordination.dispatch.OwnershipLease;
 import org.plantainloom.protocol.Json;
 import org.plantainloom.state.store.CommitReply;
-import org.plantainloom.state.store.LeaseReply;
-import org.plantainloom.state.store.ReadReply;
 import org.plantainloom.state.store.StoreItem;
 import org.plantainloom.state.store.Transaction;
-import org.plantainloom.state.store.TransactionalStore;
-import org.plantainloom.state.store.WatchReply;
+import org.plantainloom.support.UnsupportedStore;
 import org.plantainloom.transport.duty.EventLoop;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
@@ -208,7 +205,7 @@
   private record Commit(Transaction transaction, CompletableFuture<CommitReply> reply) {}
 
   /** A store that keeps the commits until the test answers them. */
-  private static final class Store implements TransactionalStore {
+  private static final class Store extends UnsupportedStore {
     final List<Commit> commits = new ArrayList<>();
 
     @Override
@@ -217,35 +214,5 @@
       commits.add(new Commit(transaction, reply));
       return reply;
     }
-
-    @Override
-    public CompletableFuture<ReadReply> read(String key) {
-      throw new UnsupportedOperationException();
-    }
-
-    @Override
-    public CompletableFuture<ReadReply> list(String prefix) {
-      throw new UnsupportedOperationException();
-    }
-
-    @Override
-    public CompletableFuture<WatchReply> watch(String prefix, long after, long waitMs) {
-      throw new UnsupportedOperationException();
-    }
-
-    @Override
-    public CompletableFuture<LeaseReply> grantLease(long ttlMs) {
-      throw new UnsupportedOperationException();
-    }
-
-    @Override
-    public CompletableFuture<LeaseReply> renewLease(long leaseId) {
-      throw new UnsupportedOperationException();
-    }
-
-    @Override
-    public CompletableFuture<LeaseReply> endLease(long leaseId) {
-      throw new UnsupportedOperationException();
-    }
   }
 }
--- a/src/test/java/org/plantainloom/transport/dispatch/PrefixWatchTest.java
+++ b/src/test/java/org/plantainloom/transport/dispatch/PrefixWatchTest.java
@@ -9,14 +9,11 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
-import org.plantainloom.state.store.CommitReply;
-import org.plantainloom.state.store.LeaseReply;
 import org.plantainloom.state.store.ReadReply;
 import org.plantainloom.state.store.StoreEvent;
 import org.plantainloom.state.store.StoreItem;
-import org.plantainloom.state.store.Transaction;
-import org.plantainloom.state.store.TransactionalStore;
 import org.plantainloom.state.store.WatchReply;
+import org.plantainloom.support.UnsupportedStore;
 import org.plantainloom.transport.duty.EventLoop;
 import org.testng.annotations.Test;
 
@@ -29,7 +26,7 @@
   private static final String BAD_KEY = "p/bad";
 
   /** A store with two entries, one of which changes with each call of the watch. */
-  private static final class ChangingStore implements TransactionalStore {
+  private static final class ChangingStore extends UnsupportedStore {
     @Override
     public CompletableFuture<ReadReply> read(String key) {
       return list(key);
@@ -52,26 +49,6 @@
           () -> new WatchReply.Changes(events, after + 2),
           CompletableFuture.delayedExecutor(REPLY_DELAY_MS, TimeUnit.MILLISECONDS));
     }
-
-    @Override
-    public CompletableFuture<CommitReply> commit(Transaction transaction) {
-      throw new UnsupportedOperationException();
-    }
-
-    @Override
-    public CompletableFuture<LeaseReply> grantLease(long ttlMs) {
-      throw new UnsupportedOperationException();
-    }
-
-    @Override
-    public CompletableFuture<LeaseReply> renewLease(long leaseId) {
-      throw new UnsupportedOperationException();
-    }
-
-    @Override
-    public CompletableFuture<LeaseReply> endLease(long leaseId) {
-      throw new UnsupportedOperationException();
-    }
   }
 
   /** Fails on one key, as a decoder with a fault would. */
