--- a/src/test/java/org/plantainloom/soak/SoakTest.java
+++ b/src/test/java/org/plantainloom/soak/SoakTest.java
@@ -73,7 +73,7 @@
         runAll(seeds(PARTITION_SEEDS, "plantainloom.soak.partition"), SoakTest::runPartitionSeed));
   }
 
-  @Test(groups = "known-red")
+  @Test
   public void should_start_no_task_of_a_cancelled_job() throws Exception {
     assertHeld(runAll(DisruptionProfile.CANCELLATIONS, CANCELLATION_SEEDS));
   }
