Keep what the reserve has given up until a lasting task takes it

Cause: at the end of a period the reserve took the places that it gave up off the unused ones of that period, whether or not a task started there. During a takeover none does, so that it gave up nothing in every other period. Now a start takes its place off; what is not taken stays unused.

--- a/src/main/java/org/plantainloom/coordination/dispatch/ShortTaskReserve.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/ShortTaskReserve.java
@@ -138,7 +138,7 @@
     fewestPlaces = Math.min(fewestPlaces, places);
     if (nowMs - periodStartMs >= USE_PERIOD_MS) {
       givenUpPlaces = Math.max(0, Math.min(fewestPlaces, fewestPlacesBefore) - 1);
-      fewestPlacesBefore = Math.max(0, fewestPlaces - givenUpPlaces);
+      fewestPlacesBefore = fewestPlaces;
       fewestPlaces = Integer.MAX_VALUE;
       periodStartMs = nowMs;
     }
@@ -148,6 +148,7 @@
   void lastingTaskStarted(WorkerState worker) {
     if (keptWorkers.contains(worker)) {
       givenUpPlaces--;
+      fewestPlacesBefore = Math.max(0, fewestPlacesBefore - 1);
     }
   }
 
