Date the last confirmation by the clocks of workers

What callers saw: lasting tasks were away for over 9 s beside empty workers. In two patterns with real processes a worker was lost together with the owner, and the next owner had just started or woken (14.7 s, and 9.25 to 9.5 s).

Cause: a successor dates the former owner's last confirmation by samples that it took itself while it was another node. One that has not lived long counts from its own start. And a claim counted as a confirmation, so that an owner that died right after its claim began the wait anew, although it had started nothing. Class: a bound that holds only if the successor has lived long enough.

Change: each confirmation names what the clocks of some workers showed at most when it was sent. What such a worker's clock shows now tells the successor how long ago that was at least, on clocks that drift by 2 % and for VMs that were suspended meanwhile. A claim is no confirmation any more: an owner acts from its first confirmation on, which is stored together with its list of workers, in one commit. Workers that have not answered until then are listed as silent, with the end of their leases, which the owner after that one therefore need not wait for anew. An owner acts for 1 s instead of 2 s after a confirmation, which are sent each 250 ms instead of 500, so that the next one waits 1 s less; leases are renewed once more before that time ends, and again as soon as the ownership is confirmed, without waiting for polls that are under way.

Evidence: the new cases of LastingTaskDowntimeTest (successors without samples, the owner lost up to 2.5 s after the worker, owners lost 0 to 1.5 s after their takeover) hold; without samples, the task did not run within 9 s before, which the replaced test asserted. HandoverExplorationTest holds with 300 schedules of each scenario, with owners that begin late or never.

Tests that change with the design: three failed confirmations are tolerated, as before, of a shorter interval; a suspension of 0.5 s instead of 1.5 s lies within one step of the owner's clocks, as that is as long as an owner acts; what was to wait from the takeover without samples still does so if no worker's clock is known either.

--- a/src/main/java/org/plantainloom/coordination/dispatch/DispatchCommand.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/DispatchCommand.java
@@ -25,6 +25,13 @@
   record LimitCpu(WorkerRegistration worker, TaskKey task, long number, int percent)
       implements DispatchCommand {}
 
+  /**
+   * Renews the lease while a poll that does not may be under way. The reply tells nothing new.
+   *
+   * @param leaseUntilMs end of the lease on the worker's clock
+   */
+  record Renewal(WorkerRegistration worker, long leaseUntilMs) implements DispatchCommand {}
+
   /**
    * Renews the lease and reads the worker's runs.
    *
--- a/src/main/java/org/plantainloom/coordination/dispatch/FleetMember.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/FleetMember.java
@@ -17,12 +17,24 @@
  *     again
  * @param leaseEndMs for a silent worker, when its lease has ended for certain, on this process's
  *     monotonic clock, if known
+ * @param leaseEnd the same on the clocks of the owner that stored it; empty at that owner, or if it
+ *     is not known
  */
 public record FleetMember(
     WorkerRegistration entry,
     Optional<List<TaskKey>> possibleTasks,
     boolean silent,
-    OptionalLong leaseEndMs) {
+    OptionalLong leaseEndMs,
+    Optional<OwnerTime> leaseEnd) {
+  /** Creates a worker as its owner stores it. */
+  public FleetMember(
+      WorkerRegistration entry,
+      Optional<List<TaskKey>> possibleTasks,
+      boolean silent,
+      OptionalLong leaseEndMs) {
+    this(entry, possibleTasks, silent, leaseEndMs, Optional.empty());
+  }
+
   /** Creates a worker whose lease may be renewed. */
   public FleetMember(WorkerRegistration entry, Optional<List<TaskKey>> possibleTasks) {
     this(entry, possibleTasks, false, OptionalLong.empty());
--- /dev/null
+++ b/src/main/java/org/plantainloom/coordination/dispatch/LatestWorkerClock.java
@@ -0,0 +1,53 @@
+package org.plantainloom.coordination.dispatch;
+
+import java.util.OptionalLong;
+
+/**
+ * The latest time that a worker's clock may show, from its answers to polls.
+ *
+ * <p>An answer tells the clock at some moment after the poll was sent; a long poll therefore leaves
+ * the moment open by as long as the worker has waited. An older answer to a short poll may tell
+ * more than a newer one to a long poll.
+ */
+final class LatestWorkerClock {
+  /** Age from which the drift makes a reading as vague as a slow answer would. */
+  private static final long REFRESH_MS = 3_000;
+
+  private boolean known;
+  private long clockMs;
+  private long sentMs;
+
+  /**
+   * Handles an answer.
+   *
+   * @param newClockMs the worker's clock in the answer
+   * @param newSentMs when the poll was sent, in {@link ElapsedTime}
+   * @param nowMs the present {@link ElapsedTime}
+   */
+  void answered(long newClockMs, long newSentMs, long nowMs) {
+    if (!known || latestMs(newClockMs, newSentMs, nowMs) < latestMs(clockMs, sentMs, nowMs)) {
+      known = true;
+      clockMs = newClockMs;
+      sentMs = newSentMs;
+    }
+  }
+
+  /** Returns the latest time that the clock may show now; empty if it was never read. */
+  OptionalLong latestMs(long nowMs) {
+    return known ? OptionalLong.of(latestMs(clockMs, sentMs, nowMs)) : OptionalLong.empty();
+  }
+
+  /** Returns how long ago the poll was sent whose answer tells the most. */
+  long ageMs(long nowMs) {
+    return nowMs - sentMs;
+  }
+
+  /** Returns whether an answer to a poll that does not wait would tell more. */
+  boolean isOutdated(long nowMs) {
+    return !known || nowMs - sentMs > REFRESH_MS;
+  }
+
+  private static long latestMs(long clockMs, long sentMs, long nowMs) {
+    return clockMs + ClockDrift.longestMs(nowMs - sentMs);
+  }
+}
--- a/src/main/java/org/plantainloom/coordination/dispatch/OwnershipLease.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/OwnershipLease.java
@@ -21,17 +21,23 @@
    */
   public static final long KEY_TTL_MS = 3_000;
 
-  /** Interval between two confirmations. */
+  /** Interval between two renewals of the key. */
   public static final long RENEW_INTERVAL_MS = 500;
 
+  /** Interval between two confirmations. */
+  public static final long CONFIRM_INTERVAL_MS = 250;
+
   /**
-   * How long an owner acts after a confirmation was sent: while three in a row fail. Shorter than
-   * the time to live on any clock, so that an owner has stopped before its key expires.
+   * How long an owner acts after a confirmation was sent: while three in a row fail. Its successor
+   * waits as much longer for workers that it cannot reach.
    */
-  static final long ACTING_MS = 4 * RENEW_INTERVAL_MS;
+  static final long ACTING_MS = 4 * CONFIRM_INTERVAL_MS;
+
+  /** Before any time, yet far enough from the smallest number to be calculated with. */
+  private static final long NEVER_MS = Long.MIN_VALUE / 2;
 
   private boolean confirmed;
-  private long confirmedMs;
+  private long confirmedMs = NEVER_MS;
   private long confirmedWallMs;
 
   /** A confirmation sent after this time would end a wait. */
@@ -66,13 +72,13 @@
    * suspended, and the wall clock may be set back, so the longer one counts.
    */
   public long ageMs(long nowMs, long wallMs) {
-    return Math.max(nowMs - confirmedMs, wallMs - confirmedWallMs);
+    return confirmed ? Math.max(nowMs - confirmedMs, wallMs - confirmedWallMs) : Long.MAX_VALUE / 2;
   }
 
   /**
-   * Returns when the last confirmation was sent; 0 if there is none. The end of a lease that this
-   * process gave proves only up to then that nothing runs under it: nobody else was the owner, so
-   * nobody else has renewed it.
+   * Returns when the last confirmation was sent; before any lease if there is none. The end of a
+   * lease that this process gave proves only up to then that nothing runs under it: nobody else was
+   * the owner, so nobody else has renewed it.
    */
   long confirmedMs() {
     return confirmedMs;
--- a/src/main/java/org/plantainloom/coordination/dispatch/WorkerLife.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/WorkerLife.java
@@ -18,6 +18,8 @@
   /** When the worker's clock was read, on this process's clock. */
   private long clockReadMs;
 
+  private final LatestWorkerClock latestClock = new LatestWorkerClock();
+
   /** Largest sequence number of an ended run that was reported. */
   private long lastEndSeen;
 
@@ -81,6 +83,16 @@
     return certain;
   }
 
+  /** Returns when this life began, as the worker says; 0 if it does not. */
+  long startedAtMs() {
+    return startedAtMs;
+  }
+
+  /** Returns the latest time that the worker's clock may show. */
+  LatestWorkerClock latestClock() {
+    return latestClock;
+  }
+
   /** Returns the worker's clock in milliseconds; behind by at most one message delay. */
   long clockAt(long nowMs) {
     return clockMs + (nowMs - clockReadMs);
--- a/src/main/java/org/plantainloom/coordination/dispatch/WorkerTable.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/WorkerTable.java
@@ -5,7 +5,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.function.Consumer;
+import java.util.function.Function;
 import java.util.function.ToLongFunction;
 import org.plantainloom.coordination.dispatch.RunConclusion.Evidence;
 import org.plantainloom.state.job.RunOutcome;
@@ -61,6 +63,8 @@
     worker.possibleTasks = member.possibleTasks();
     worker.storedAsSilent = member.silent();
     worker.inheritedLeaseEndMs = member.leaseEndMs();
+    worker.inheritedLeaseEnd = member.leaseEnd();
+    worker.inherited = true;
     unregistered(registration.id());
   }
 
@@ -112,6 +116,24 @@
     log.logDecision("worker-silent", worker.id(), "reason=" + reason);
   }
 
+  /**
+   * Marks the inherited workers that have not answered yet as silent, before this owner may act:
+   * the next owner then need not wait for them any longer than this one.
+   */
+  void markUnansweredSilent() {
+    for (WorkerState worker : workers.values()) {
+      if (worker.inherited && !worker.hasAnswered()) {
+        worker.storedAsSilent = true;
+      }
+    }
+  }
+
+  /** Returns whether each worker of previous owners has answered, or does not answer. */
+  boolean haveInheritedOnesReplied() {
+    return workers.values().stream()
+        .allMatch(worker -> !worker.inherited || worker.unreachable || worker.hasAnswered());
+  }
+
   /** Handles an answer: until the stored list names the worker as answering, nothing runs anew. */
   void answered(WorkerState worker) {
     if (worker.storedAsSilent) {
@@ -119,6 +141,17 @@
     }
   }
 
+  /** Works out anew when leases have ended, as the former owner's clocks are better known. */
+  void inheritedLeaseEndsKnown(Function<OwnerTime, OptionalLong> latestMs) {
+    for (WorkerState worker : workers.values()) {
+      OptionalLong endMs = worker.inheritedLeaseEnd.map(latestMs).orElse(OptionalLong.empty());
+      if (endMs.isPresent()
+          && endMs.getAsLong() < worker.inheritedLeaseEndMs.orElse(Long.MAX_VALUE)) {
+        worker.inheritedLeaseEndMs = endMs;
+      }
+    }
+  }
+
   /** Once all jobs are restored, holds back the tasks that unreachable workers may run. */
   void holdPossibleTasks() {
     for (WorkerState worker : workers.values()) {
@@ -221,8 +254,12 @@
     boolean markOutdated = storedListIncomplete && !listIncomplete;
     return allPersisted && !hasUnpersistedRemoval && !markOutdated
         ? Optional.empty()
-        : Optional.of(
-            workers.values().stream().map(worker -> toFleetMember(worker, leaseEnds)).toList());
+        : Optional.of(members(leaseEnds));
+  }
+
+  /** Returns the workers that the next owner has to poll. */
+  List<FleetMember> members(ToLongFunction<WorkerState> leaseEnds) {
+    return workers.values().stream().map(worker -> toFleetMember(worker, leaseEnds)).toList();
   }
 
   private static FleetMember toFleetMember(
--- a/src/main/java/org/plantainloom/transport/dispatch/FleetRecord.java
+++ b/src/main/java/org/plantainloom/transport/dispatch/FleetRecord.java
@@ -1,9 +1,12 @@
 package org.plantainloom.transport.dispatch;
 
 import com.fasterxml.jackson.annotation.JsonInclude;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import org.plantainloom.coordination.dispatch.FleetMember;
 import org.plantainloom.coordination.dispatch.OwnerTime;
+import org.plantainloom.state.job.TaskKey;
 import org.plantainloom.state.job.WorkerRegistration;
 
 /**
@@ -23,4 +26,23 @@
     List<WorkerRegistration> workers,
     @JsonInclude(JsonInclude.Include.NON_EMPTY) Map<String, List<String>> silentTasks,
     @JsonInclude(JsonInclude.Include.NON_EMPTY) Map<String, OwnerTime> silentUntil,
-    @JsonInclude(JsonInclude.Include.NON_DEFAULT) boolean incomplete) {}
+    @JsonInclude(JsonInclude.Include.NON_DEFAULT) boolean incomplete) {
+  /**
+   * Creates the record of an owner's workers.
+   *
+   * @param now the present moment on the owner's clocks
+   */
+  static FleetRecord of(List<FleetMember> fleet, OwnerTime now, boolean incomplete) {
+    Map<String, List<String>> silentTasks = new HashMap<>();
+    Map<String, OwnerTime> silentUntil = new HashMap<>();
+    for (FleetMember member : fleet) {
+      String id = member.entry().id();
+      member
+          .possibleTasks()
+          .ifPresent(keys -> silentTasks.put(id, keys.stream().map(TaskKey::toString).toList()));
+      member.leaseEndMs().ifPresent(end -> silentUntil.put(id, now.plus(end - now.monotonicMs())));
+    }
+    List<WorkerRegistration> workers = fleet.stream().map(FleetMember::entry).toList();
+    return new FleetRecord(workers, silentTasks, silentUntil, incomplete);
+  }
+}
--- a/src/main/java/org/plantainloom/transport/dispatch/Node.java
+++ b/src/main/java/org/plantainloom/transport/dispatch/Node.java
@@ -82,11 +82,17 @@
     }
 
     @Override
-    public void onGained(Ownership ownership) {
+    public void onGained(Ownership ownership, OwnershipConfirmations confirmations) {
       session =
           Optional.of(
               new OwnerSession(
-                  context, eventLoop, Node.this::schedule, election, cluster, ownership));
+                  context,
+                  eventLoop,
+                  Node.this::schedule,
+                  election,
+                  cluster,
+                  ownership,
+                  confirmations));
     }
 
     @Override
--- a/src/main/java/org/plantainloom/transport/dispatch/OwnerClockSampler.java
+++ b/src/main/java/org/plantainloom/transport/dispatch/OwnerClockSampler.java
@@ -42,7 +42,7 @@
             found.items().stream()
                 .findFirst()
                 .flatMap(StoredConfirmation::parse)
-                .ifPresent(time -> clocks.sampled(time, NodeContext.nowMs()));
+                .ifPresent(last -> clocks.sampled(last.time(), NodeContext.nowMs()));
           }
         });
   }
--- a/src/main/java/org/plantainloom/transport/dispatch/OwnerSession.java
+++ b/src/main/java/org/plantainloom/transport/dispatch/OwnerSession.java
@@ -71,7 +71,8 @@
       PrefixWatch.DelayedExecutor delayedExecutor,
       OwnerElection election,
       ClusterView cluster,
-      Ownership ownership) {
+      Ownership ownership,
+      OwnershipConfirmations confirmations) {
     this.node = node;
     this.eventLoop = eventLoop;
     this.delayedExecutor = delayedExecutor;
@@ -93,9 +94,17 @@
     this.jobListener = new JobListener(dispatcher, this::scheduleRound);
     this.progressWriter =
         new ProgressWriter(
-            node, eventLoop, delayedExecutor, dispatcher, ownership, this::scheduleRound);
+            node,
+            eventLoop,
+            delayedExecutor,
+            dispatcher,
+            ownership,
+            confirmations,
+            this::listStored,
+            this::scheduleRound);
     this.previousOwnersInquiry = ownership.previousOwners().map(this::inquire);
-    ownership.previousOwnersConfirmedMs().ifPresent(dispatcher::previousOwnersConfirmed);
+    ownership.lastConfirmation().ifPresent(dispatcher::previousOwnerConfirmed);
+    confirmations.workerClocks(dispatcher::workerClocks);
     this.startCounter = node.metrics().counter("runs.ordered");
     this.startReplyTimer = node.metrics().timer("runs.start-answer");
     this.roundTimer = node.metrics().timer("decisions.round");
@@ -166,6 +175,7 @@
         .filter(item -> item.key().equals(StoreKeys.FLEET))
         .forEach(this::inheritFleet);
     fleetLoaded = true;
+    dispatcher.inheritedWorkers().allRead(NodeContext.nowMs());
     watches.add(
         new PrefixWatch(
                 node.store(),
@@ -245,7 +255,11 @@
   private void decideAndSend() {
     long now = NodeContext.nowMs();
     if (!loaded) {
-      dispatcher.pollInheritedWorkers(now, NodeContext.wallMs()).forEach(order -> send(order, now));
+      dispatcher
+          .inheritedWorkers()
+          .polls(now, NodeContext.wallMs())
+          .forEach(order -> send(order, now));
+      progressWriter.persistList();
       return;
     }
     if (dispatcher.areInheritedLeasesOver(now)) {
@@ -277,10 +291,12 @@
       onReply(
           calls.limitCpu(pace),
           reply -> dispatcher.cpuLimitAnswered(pace, reply, NodeContext.nowMs()));
+    } else if (order instanceof DispatchCommand.Renewal renewal) {
+      renew(renewal);
     } else if (order instanceof DispatchCommand.Poll poll) {
       CompletableFuture<PollReply> call = calls.poll(poll);
       if (!loaded) {
-        eventLoop.onResult(call, reply -> renewInheritedLease(poll.worker(), reply));
+        eventLoop.onResult(call, reply -> inheritedWorkerAnswered(poll.worker(), reply));
       }
       onReply(
           call,
@@ -288,14 +304,29 @@
     }
   }
 
-  private void renewInheritedLease(WorkerRegistration worker, PollReply reply) {
+  private void inheritedWorkerAnswered(WorkerRegistration worker, PollReply reply) {
     if (closed || loaded) {
       return;
     }
     dispatcher
-        .renewInheritedLease(worker, reply, NodeContext.nowMs(), NodeContext.wallMs())
-        // What the worker lists is read again by the next poll.
-        .ifPresent(poll -> eventLoop.onResult(calls.poll(poll), renewed -> {}));
+        .inheritedWorkers()
+        .answered(worker, reply, NodeContext.nowMs(), NodeContext.wallMs())
+        .ifPresent(this::renew);
+    scheduleRound();
+  }
+
+  /** Handles that the workers are stored as those that answer whose leases may now be renewed. */
+  private void listStored() {
+    if (!loaded) {
+      dispatcher
+          .inheritedWorkers()
+          .renewals(NodeContext.nowMs(), NodeContext.wallMs())
+          .forEach(this::renew);
+    }
+  }
+
+  private void renew(DispatchCommand.Renewal renewal) {
+    eventLoop.onResult(calls.renew(renewal), reply -> {});
   }
 
   /** Passes a reply on, or keeps it until the jobs have been read. */
--- a/src/main/java/org/plantainloom/transport/dispatch/Predecessors.java
+++ b/src/main/java/org/plantainloom/transport/dispatch/Predecessors.java
@@ -3,7 +3,6 @@
 import java.util.List;
 import java.util.Optional;
 import org.jboss.logging.Logger;
-import org.plantainloom.coordination.dispatch.OwnerTime;
 import org.plantainloom.protocol.Json;
 import org.plantainloom.protocol.MalformedMessageException;
 import org.plantainloom.state.store.StoreItem;
@@ -35,11 +34,11 @@
     }
   }
 
-  /** Returns the last confirmation if it is of the owner right before a term. */
-  Optional<OwnerTime> lastConfirmation(long newTerm) {
+  /** Returns the last confirmation if no other owner before a term can have acted since. */
+  Optional<StoredConfirmation> lastConfirmation(long newTerm) {
     return confirmation
         .flatMap(StoredConfirmation::parse)
-        .filter(time -> time.term() == newTerm - 1);
+        .filter(last -> last.lastTerm() == newTerm - 1);
   }
 
   long termRevision() {
--- a/src/main/java/org/plantainloom/transport/dispatch/WorkerCalls.java
+++ b/src/main/java/org/plantainloom/transport/dispatch/WorkerCalls.java
@@ -1,5 +1,6 @@
 package org.plantainloom.transport.dispatch;
 
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
@@ -19,6 +20,8 @@
 final class WorkerCalls {
   private static final Logger LOG = Logger.getLogger(WorkerCalls.class);
 
+  private static final long NOTHING_ACKNOWLEDGED = 0;
+
   private final TaskWorkers workers;
   private final long fencingToken;
   private final Set<String> workersWithFailedCalls = ConcurrentHashMap.newKeySet();
@@ -51,6 +54,12 @@
         CommandReply.UNKNOWN);
   }
 
+  CompletableFuture<PollReply> renew(DispatchCommand.Renewal renewal) {
+    return poll(
+        new DispatchCommand.Poll(
+            renewal.worker(), Optional.of(renewal.leaseUntilMs()), NOTHING_ACKNOWLEDGED, 0));
+  }
+
   CompletableFuture<PollReply> poll(DispatchCommand.Poll poll) {
     return withoutFailure(
         poll.worker(),
--- a/src/test/java/org/plantainloom/coordination/dispatch/HandoverWorker.java
+++ b/src/test/java/org/plantainloom/coordination/dispatch/HandoverWorker.java
@@ -168,6 +168,10 @@
       }
       CommandReply reply = fenced ? CommandReply.FENCED : CommandReply.OK;
       return () -> dispatcher.stopAnswered(stop, reply, owner.time());
+    } else if (command instanceof DispatchCommand.Renewal renewal) {
+      if (!fenced) {
+        extendLease(renewal.leaseUntilMs());
+      }
     } else if (command instanceof DispatchCommand.Poll poll) {
       PollReply reply = fenced ? new PollReply.Fenced() : poll(poll);
       return () -> dispatcher.pollAnswered(registration(), reply, sentMs, owner.time());
