Poll workers with lasting tasks more often

What callers saw: none yet; found by working out the bounds. If the owner is lost shortly after a worker, but before the store knows the worker as silent, the next owner waits from the owner's last confirmation, not from the worker's loss.

Cause: the loss of a worker is noticed when a poll returns, up to 1.7 s after it was sent, so that up to 1.7 s were added to the wait.

Change: polls of workers with lasting tasks wait for 0.4 s, so that a loss is noticed within 1.1 s. The model of interference still learns from one poll a second where no tail latency is controlled: figures that overlap mislead it (InterferenceTest).

--- a/src/main/java/org/plantainloom/coordination/dispatch/WorkerPolls.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/WorkerPolls.java
@@ -15,6 +15,12 @@
    */
   private static final long LAST_RENEWAL_MS = 200;
 
+  /**
+   * Wait of a poll at a worker with lasting tasks. Its loss is noticed when the poll returns, and
+   * if the owner is lost before that is stored, the next one waits longer.
+   */
+  private static final long LASTING_WAIT_MS = 400;
+
   private final DispatchPolicy policy;
   private final OwnershipLease ownership;
   private final ElapsedTime elapsed;
@@ -115,6 +121,9 @@
     if (TailLatencyController.appliesTo(worker)) {
       return policy.throttlingPollWaitMs();
     }
+    if (worker.lastingCpuMillis() > 0) {
+      return LASTING_WAIT_MS;
+    }
     return worker.runs.isEmpty() ? policy.idlePollWaitMs() : policy.busyPollWaitMs();
   }
 }
--- a/src/main/java/org/plantainloom/coordination/dispatch/WorkerState.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/WorkerState.java
@@ -71,6 +71,9 @@
 
   long nextPollMs;
 
+  /** When its figures count for the model of interference again. */
+  long nextObservationMs;
+
   /** False only if no run on this worker is to be stopped. */
   boolean mayHaveStoppingRuns;
 
