--- a/src/test/java/org/plantainloom/soak/FaultProxy.java
+++ b/src/test/java/org/plantainloom/soak/FaultProxy.java
@@ -53,6 +53,7 @@
   private List<Mode> modes = List.of();
 
   private volatile long delayMs;
+  private volatile boolean targetSilent;
 
   private FaultProxy(ServerSocket server) {
     this.server = server;
@@ -134,6 +135,17 @@
     connections.forEach(connection -> connection.blackholed = true);
   }
 
+  /**
+   * Leaves connections open without a byte, a reset or an end, as a target without power does, or
+   * resets those that were left open, as a target that is there again does.
+   */
+  void setTargetSilent(boolean silent) {
+    targetSilent = silent;
+    if (!silent) {
+      resetConnections();
+    }
+  }
+
   private void startDaemon(Runnable action) {
     Thread thread = new Thread(action, "fault-proxy");
     thread.setDaemon(true);
@@ -154,6 +166,10 @@
   private void connect(Socket clientSocket) {
     Socket targetSocket = new Socket();
     Connection connection = new Connection(clientSocket, targetSocket);
+    if (targetSilent) {
+      connections.add(connection);
+      return;
+    }
     try {
       targetSocket.connect(
           new java.net.InetSocketAddress(InetAddress.getLoopbackAddress(), targetPort),
@@ -167,7 +183,9 @@
     connections.add(connection);
     startDaemon(() -> forward(connection, clientSocket, targetSocket, false));
     forward(connection, targetSocket, clientSocket, true);
-    connections.remove(connection);
+    if (!targetSilent) {
+      connections.remove(connection);
+    }
   }
 
   private void forward(Connection connection, Socket from, Socket to, boolean isResponse) {
@@ -176,7 +194,7 @@
       InputStream in = from.getInputStream();
       OutputStream out = to.getOutputStream();
       for (int n = in.read(buffer); n >= 0; n = in.read(buffer)) {
-        if (connection.blackholed || has(mode -> mode.drops(isResponse))) {
+        if (connection.blackholed || targetSilent || has(mode -> mode.drops(isResponse))) {
           connection.blackholed = true; // a stream with missing bytes cannot continue
           continue;
         }
@@ -187,9 +205,13 @@
         out.write(buffer, 0, n);
         out.flush();
       }
-      to.shutdownOutput();
+      if (!targetSilent) {
+        to.shutdownOutput();
+      }
     } catch (IOException | InterruptedException e) {
-      connection.reset();
+      if (!targetSilent) {
+        connection.reset();
+      }
     }
   }
 
--- a/src/test/java/org/plantainloom/soak/SoakNetwork.java
+++ b/src/test/java/org/plantainloom/soak/SoakNetwork.java
@@ -25,6 +25,8 @@
   private static final WorkerLayout LAYOUT = new WorkerLayout(6, 3, 300, true);
 
   private final InvariantChecker checker;
+  private final Path directory;
+  private final WorkerLayout layout;
   private final SimulatedPlatform platform;
   private final List<SoakNode> nodes = new ArrayList<>();
   private final List<StoreView> storeViews = new ArrayList<>();
@@ -35,21 +37,33 @@
   /** Proxies to control addresses, by node and other node; that of a node to itself is unused. */
   private final List<List<FaultProxy>> controlProxies = new ArrayList<>();
 
-  private SoakNetwork(InvariantChecker checker) {
+  /** Proxies to control addresses that nodes had before. */
+  private final List<FaultProxy> formerProxies = new ArrayList<>();
+
+  private SoakNetwork(Path directory, InvariantChecker checker, WorkerLayout layout) {
+    this.directory = directory;
     this.checker = checker;
-    this.platform = SimulatedPlatform.start(LAYOUT, checker);
+    this.layout = layout;
+    this.platform = SimulatedPlatform.start(layout, checker);
   }
 
   /** Starts the platform, the proxies and the processes of the nodes. */
   static SoakNetwork start(Path directory, InvariantChecker checker) throws IOException {
-    SoakNetwork network = new SoakNetwork(checker);
+    return start(directory, checker, NODES, LAYOUT);
+  }
+
+  /** Starts the platform, the proxies and the processes of a number of nodes. */
+  static SoakNetwork start(
+      Path directory, InvariantChecker checker, int nodeCount, WorkerLayout layout)
+      throws IOException {
+    SoakNetwork network = new SoakNetwork(directory, checker, layout);
     network.platform.configure(1);
-    for (int i = 0; i < NODES; i++) {
+    for (int i = 0; i < nodeCount; i++) {
       StoreView view = network.platform.openStoreView();
       network.storeViews.add(view);
       network.nodes.add(new SoakNode("node-" + i, directory, port(view.address())));
     }
-    for (int i = 0; i < NODES; i++) {
+    for (int i = 0; i < nodeCount; i++) {
       network.startProxies(network.storeViews.get(i));
     }
     for (SoakNode node : network.nodes) {
@@ -60,7 +74,7 @@
 
   private void startProxies(StoreView view) throws IOException {
     List<FaultProxy> toWorkers = new ArrayList<>();
-    for (int worker = 0; worker < LAYOUT.workers(); worker++) {
+    for (int worker = 0; worker < layout.workers(); worker++) {
       toWorkers.add(startProxy(view, platform.workerAddress(worker)));
     }
     workerProxies.add(toWorkers);
@@ -98,11 +112,37 @@
 
   /** Makes a node silent for the others, as a machine without power is. */
   void silenceControl(int lostNode) {
-    for (int node = 0; node < NODES; node++) {
+    for (int node = 0; node < nodes.size(); node++) {
       controlProxy(node, lostNode).addFault(FaultProxy.Mode.DROP_ALL);
     }
   }
 
+  /** Leaves connections to a node open without a response, or resets those left open. */
+  void setControlSilent(int lostNode, boolean silent) {
+    for (int node = 0; node < nodes.size(); node++) {
+      controlProxy(node, lostNode).setTargetSilent(silent);
+    }
+  }
+
+  /** Leaves connections to a worker open without a response, or resets those left open. */
+  void setWorkerSilent(int worker, boolean silent) {
+    for (int node = 0; node < nodes.size(); node++) {
+      workerProxy(node, worker).setTargetSilent(silent);
+    }
+  }
+
+  /** Gives other addresses to a node that does not run, as a machine in its place has. */
+  void relocate(int node) throws IOException {
+    SoakNode former = nodes.get(node);
+    former.close();
+    SoakNode moved = new SoakNode(former.name, directory, port(storeViews.get(node).address()));
+    nodes.set(node, moved);
+    for (int other = 0; other < nodes.size(); other++) {
+      FaultProxy proxy = startProxy(storeViews.get(other), moved.controlAddress);
+      formerProxies.add(controlProxies.get(other).set(node, proxy));
+    }
+  }
+
   SimulatedPlatform platform() {
     return platform;
   }
@@ -112,15 +152,15 @@
   }
 
   int workers() {
-    return LAYOUT.workers();
+    return layout.workers();
   }
 
   int zoneOfNode(int node) {
-    return (node + 1) % LAYOUT.zones();
+    return (node + 1) % layout.zones();
   }
 
   int zoneOfWorker(int worker) {
-    return LAYOUT.zoneOf(worker);
+    return layout.zoneOf(worker);
   }
 
   FaultProxy storeProxy(int node) {
@@ -148,7 +188,7 @@
     JsonNode owner = JSON.readTree(stored);
     String name = owner.path("node").asText();
     checker.registerOwner(owner.path("term").asLong(), name);
-    return IntStream.range(0, NODES).filter(i -> nodes.get(i).name.equals(name)).findFirst();
+    return IntStream.range(0, nodes.size()).filter(i -> nodes.get(i).name.equals(name)).findFirst();
   }
 
   @Override
@@ -161,6 +201,9 @@
         proxy.close();
       }
     }
+    for (FaultProxy proxy : formerProxies) {
+      proxy.close();
+    }
     for (List<FaultProxy> proxies : List.copyOf(controlProxies)) {
       for (FaultProxy proxy : proxies) {
         proxy.close();
--- a/src/test/java/org/plantainloom/soak/SoakNode.java
+++ b/src/test/java/org/plantainloom/soak/SoakNode.java
@@ -50,8 +50,7 @@
     command.add(System.getProperty("java.home") + "/bin/java");
     command.addAll(FLAGS);
     command.add("-cp");
-    command.add(
-        System.getProperty("surefire.test.class.path", System.getProperty("java.class.path")));
+    command.add(classPath());
     command.add("org.plantainloom.program.node.NodeMain");
     command.addAll(List.of("--config", settingsFile.toString()));
     process =
@@ -62,6 +61,14 @@
     endedByTest = false;
   }
 
+  /** Returns the class path of the nodes, with the classes of another release first on request. */
+  private static String classPath() {
+    String own =
+        System.getProperty("surefire.test.class.path", System.getProperty("java.class.path"));
+    String otherRelease = System.getProperty("plantainloom.soak.node-classes", "");
+    return otherRelease.isEmpty() ? own : otherRelease + File.pathSeparator + own;
+  }
+
   /** Returns whether the process exited although the test did not end it. */
   boolean exitedUnexpectedly() {
     return !endedByTest && !process.isAlive();
