Lose random workers in the scripted changes of owner, or leave them running

The same worker was lost in nearly every play, so that its clock always ran at the same speed. Workers that are lost for good may also go on without a path to anyone (plantainloom.soak.lost-workers-go-on), so that a successor that starts a task too early runs it twice.

--- a/src/test/java/org/plantainloom/soak/OwnerChangeRun.java
+++ b/src/test/java/org/plantainloom/soak/OwnerChangeRun.java
@@ -5,7 +5,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.Comparator;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -34,6 +34,13 @@
   /** Time that nodes need to start in addition, as on a small share of a core. */
   private static final long NODE_START_MS = Long.getLong("plantainloom.soak.node-start-ms", 0);
 
+  /**
+   * Whether workers that are lost for good go on without a path to anyone, so that their tasks run
+   * until the lease has expired by their clocks.
+   */
+  private static final boolean LOST_WORKERS_GO_ON =
+      Boolean.getBoolean("plantainloom.soak.lost-workers-go-on");
+
   /** From the last disturbance on, the rule has found any task that is away for too long. */
   private static final long JUDGED_MS =
       LastingTaskRule.DUE_MS + LastingTaskRule.CALM_BEFORE_MS + 2 * LastingTaskRule.BOUND_MS;
@@ -206,16 +213,12 @@
     return IntStream.range(0, network.nodes().size()).filter(i -> i != node).boxed().toList();
   }
 
-  /** Returns workers that run lasting tasks, those with the most runs first. */
+  /** Returns random ones of the workers that run lasting tasks, as their clocks differ. */
   List<Integer> busyWorkers(int count) {
-    List<Integer> workers =
-        runsByWorker().entrySet().stream()
-            .sorted(Map.Entry.<Integer, Integer>comparingByValue(Comparator.reverseOrder()))
-            .limit(count)
-            .map(Map.Entry::getKey)
-            .toList();
-    require(workers.size() == count, "too few workers run tasks");
-    return workers;
+    List<Integer> workers = new ArrayList<>(runsByWorker().keySet());
+    require(workers.size() >= count, "too few workers run tasks");
+    Collections.shuffle(workers);
+    return workers.subList(0, count);
   }
 
   List<Integer> workersOtherThan(int worker) {
@@ -274,7 +277,13 @@
   /** Takes workers away for good. */
   void loseWorkers(List<Integer> workers) {
     for (int worker : workers) {
-      cutPowerOfWorker(worker);
+      if (LOST_WORKERS_GO_ON) {
+        beginDisturbance("worker " + worker);
+        network.setWorkerSilent(worker, true);
+        network.platform().setWorkerReachesStore(worker, false);
+      } else {
+        cutPowerOfWorker(worker);
+      }
       checker.history().workerLost(SoakNetwork.workerId(worker));
       endDisturbance("worker " + worker);
     }
--- a/src/test/java/org/plantainloom/soak/OwnerChangeTest.java
+++ b/src/test/java/org/plantainloom/soak/OwnerChangeTest.java
@@ -44,7 +44,8 @@
           OwnerChange.SUCCESSOR_LOST_AFTER_CLAIM,
           OwnerChange.OWNER_LOST_600_MS_AFTER_WORKER,
           OwnerChange.OWNER_LOST_900_MS_AFTER_WORKER,
-          OwnerChange.OWNER_LOST_1200_MS_AFTER_WORKER);
+          OwnerChange.OWNER_LOST_1200_MS_AFTER_WORKER,
+          OwnerChange.OWNER_LOST_1500_MS_AFTER_WORKER);
 
   @Test
   public void should_run_lasting_tasks_again_after_changes_of_owner() throws Exception {
