--- a/src/test/java/org/plantainloom/soak/FaultScope.java
+++ b/src/test/java/org/plantainloom/soak/FaultScope.java
@@ -9,12 +9,17 @@
  * @param nodes nodes whose process does not run, or that have no path to the store in both
  *     directions
  * @param heldLinks paths from a node to a worker on which commands may arrive late
+ * @param planned whether it is planned work, which no request may be lost to
  */
-record FaultScope(boolean store, Set<Integer> nodes, Set<Link> heldLinks) {
+record FaultScope(boolean store, Set<Integer> nodes, Set<Link> heldLinks, boolean planned) {
 
   /** A path from a node to a worker. */
   record Link(int node, int worker) {}
 
+  FaultScope(boolean store, Set<Integer> nodes, Set<Link> heldLinks) {
+    this(store, nodes, heldLinks, false);
+  }
+
   static FaultScope ofStore() {
     return new FaultScope(true, Set.of(), Set.of());
   }
@@ -23,6 +28,11 @@
     return new FaultScope(false, Set.of(node), Set.of());
   }
 
+  /** Returns the scope of a planned stop of a node, until it runs again. */
+  static FaultScope ofPlannedStop(int node) {
+    return new FaultScope(false, Set.of(node), Set.of(), true);
+  }
+
   /** Returns the scope of a fault that leaves all nodes and their paths to the store alone. */
   static FaultScope ofOthers() {
     return new FaultScope(false, Set.of(), Set.of());
--- a/src/test/java/org/plantainloom/soak/FaultTimeline.java
+++ b/src/test/java/org/plantainloom/soak/FaultTimeline.java
@@ -27,6 +27,12 @@
     return intervals.stream().noneMatch(interval -> interval.overlaps(fromMs, toMs));
   }
 
+  /** Returns whether no fault but planned work was active in a time. */
+  boolean isWithoutImpairment(long fromMs, long toMs) {
+    return intervals.stream()
+        .noneMatch(interval -> !interval.scope().planned() && interval.overlaps(fromMs, toMs));
+  }
+
   /** Returns whether a node ran and the store answered it, all the time before a moment. */
   boolean isInTouch(int node, long atMs) {
     return !isAffected(scope -> scope.affectsNode(node), atMs);
--- a/src/test/java/org/plantainloom/soak/InvariantChecker.java
+++ b/src/test/java/org/plantainloom/soak/InvariantChecker.java
@@ -171,6 +171,7 @@
 
   @Override
   public synchronized void endReportLost(ObservedRun run) {
+    history.endReportLost(run);
     done.getOrDefault(run.task(), new HashSet<>()).remove(run);
     startsAfterDone.remove(run);
   }
--- a/src/test/java/org/plantainloom/soak/LastingTaskRule.java
+++ b/src/test/java/org/plantainloom/soak/LastingTaskRule.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalInt;
@@ -49,12 +48,13 @@
   /** Returns a violation for each time that a lasting task was away for too long. */
   List<Violation> violations(RunHistory history, long judgedUntilMs) {
     List<Violation> violations = new ArrayList<>();
+    WorkerCapacity capacity = new WorkerCapacity(workers, jobs.values(), history);
     for (List<RunHistory.Entry> runs : history.byTask().values()) {
       SoakJob job = jobs.get(runs.get(0).jobId());
       if (job != null && job.longRunning() && !job.cancelRequested) {
         for (int i = 0; i < runs.size(); i++) {
           long backMs = i + 1 < runs.size() ? runs.get(i + 1).startMs() : judgedUntilMs + BOUND_MS;
-          checkAbsence(job, runs.get(i), Math.min(backMs, judgedUntilMs), history, violations);
+          checkAbsence(job, runs.get(i), Math.min(backMs, judgedUntilMs), capacity, violations);
         }
       }
     }
@@ -65,7 +65,7 @@
       SoakJob job,
       RunHistory.Entry last,
       long backMs,
-      RunHistory history,
+      WorkerCapacity capacity,
       List<Violation> violations) {
     if (last.endMs().isEmpty()) {
       return;
@@ -73,39 +73,13 @@
     long fromMs = last.lastMs() + DUE_MS;
     for (long atMs = fromMs; atMs + BOUND_MS <= backMs; atMs += SCAN_STEP_MS) {
       if (faults.isCalm(atMs - CALM_BEFORE_MS, atMs + BOUND_MS)
-          && hasRoom(job, history, atMs, atMs + BOUND_MS)) {
+          && capacity.hasRoom(job, ROOMS, atMs, atMs + BOUND_MS)) {
         violations.add(new Violation(atMs + BOUND_MS, describe(last, backMs)));
         return;
       }
     }
   }
 
-  /** Returns whether there was room for two tasks of a job at each moment of a time. */
-  private boolean hasRoom(SoakJob job, RunHistory history, long fromMs, long toMs) {
-    List<RunHistory.Entry> runs =
-        history.entries().stream()
-            .filter(run -> run.startMs() <= toMs && run.lastMs() > fromMs)
-            .toList();
-    List<Long> moments = new ArrayList<>(List.of(fromMs));
-    runs.stream().map(RunHistory.Entry::startMs).filter(at -> at > fromMs).forEach(moments::add);
-    return moments.stream().allMatch(atMs -> rooms(job, history, runs, atMs) >= ROOMS);
-  }
-
-  private int rooms(SoakJob job, RunHistory history, List<RunHistory.Entry> runs, long atMs) {
-    Map<String, Integer> free = new HashMap<>();
-    workers.stream()
-        .filter(worker -> !history.isWorkerLost(worker, atMs))
-        .forEach(worker -> free.put(worker, InvariantChecker.WORKER_CPU_MILLIS));
-    runs.stream()
-        .filter(run -> run.isActiveAt(atMs) && jobs.containsKey(run.jobId()))
-        .forEach(
-            run ->
-                free.computeIfPresent(
-                    run.run().worker(),
-                    (worker, millis) -> millis - jobs.get(run.jobId()).cpuMillis()));
-    return free.values().stream().mapToInt(millis -> Math.max(0, millis) / job.cpuMillis()).sum();
-  }
-
   private String describe(RunHistory.Entry last, long backMs) {
     OptionalInt node = owners.apply(last.run().fencingToken());
     return LOST
--- a/src/test/java/org/plantainloom/soak/RunHistory.java
+++ b/src/test/java/org/plantainloom/soak/RunHistory.java
@@ -2,9 +2,11 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.LongSupplier;
 import org.plantainloom.platform.standin.ObservedRun;
@@ -15,6 +17,7 @@
   private final LongSupplier clock;
   private final List<Entry> entries = new ArrayList<>();
   private final Map<ObservedRun, Integer> open = new HashMap<>();
+  private final Set<ObservedRun> lostEnds = new HashSet<>();
   private final Map<String, Long> workerLossesMs = new HashMap<>();
 
   /**
@@ -57,7 +60,14 @@
   }
 
   @Override
-  public void endReportLost(ObservedRun run) {}
+  public synchronized void endReportLost(ObservedRun run) {
+    lostEnds.add(run);
+  }
+
+  /** Returns whether a run ended as done, and no worker forgot that before an owner knew it. */
+  synchronized boolean isKnownDone(Entry entry) {
+    return entry.outcome().equals("done") && !lostEnds.contains(entry.run());
+  }
 
   /** Notes that a worker is gone for good. */
   synchronized void workerLost(String worker) {
--- a/src/test/java/org/plantainloom/soak/SoakJob.java
+++ b/src/test/java/org/plantainloom/soak/SoakJob.java
@@ -41,6 +41,10 @@
     return id;
   }
 
+  int phases() {
+    return phases;
+  }
+
   int width() {
     return width;
   }
