Take failed as the end of a job only with cause in the soak

What callers saw: nothing; the soak took "failed" as a good end of any job, so that a job that fails though no worker failed its tasks passed all its checks.

A job counts as failed only if the workers ended as many runs of one of its tasks as failed as the queue allows attempts, and lasting jobs never do. Any other job that is shown as failed is reported as not settled. Why it works: the worker's own ends are what the rule counts, and lapsed, stopped and lost runs are none of them.

--- a/src/test/java/org/plantainloom/soak/SoakCallers.java
+++ b/src/test/java/org/plantainloom/soak/SoakCallers.java
@@ -206,7 +206,7 @@
     if (job.cancelRequested) {
       Optional<Acknowledgement> ack = job.cancelAcknowledgement();
       boolean ended =
-          state.contains("cancelled") || state.contains("completed") || state.contains("failed");
+          state.contains("cancelled") || state.contains("completed") || hasFailed(job, state);
       return (ended || ack.filter(a -> a.status() == GONE).isPresent())
           ? running == 0
           : ack.isEmpty();
@@ -214,8 +214,13 @@
     if (job.longRunning()) {
       return state.contains("active") && running == job.width();
     }
-    // A job may fail, as a failing worker may use up the attempts of a task.
-    return (state.contains("completed") || state.contains("failed")) && running == 0;
+    return (state.contains("completed") || hasFailed(job, state)) && running == 0;
+  }
+
+  /** Returns whether a job failed with cause: a failing worker may use up a task's attempts. */
+  private boolean hasFailed(SoakJob job, String state) {
+    return state.contains("failed")
+        && JobStateRule.mayHaveFailed(job, checker.history(), SoakRun.nowMs());
   }
 
   private int drawNode() {
