--- a/src/test/java/org/plantainloom/soak/SoakNetwork.java
+++ b/src/test/java/org/plantainloom/soak/SoakNetwork.java
@@ -7,6 +7,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.OptionalInt;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.stream.IntStream;
 import org.plantainloom.platform.standin.SimulatedPlatform;
 import org.plantainloom.platform.standin.StoreView;
@@ -25,8 +26,13 @@
   private static final WorkerLayout LAYOUT = new WorkerLayout(6, 3, 300, true);
 
   private final InvariantChecker checker;
+  private final Path directory;
+  private final WorkerLayout layout;
   private final SimulatedPlatform platform;
-  private final List<SoakNode> nodes = new ArrayList<>();
+
+  /** Callers read it while nodes are added. */
+  private final List<SoakNode> nodes = new CopyOnWriteArrayList<>();
+
   private final List<StoreView> storeViews = new ArrayList<>();
 
   /** Proxies to workers, by node and worker. */
@@ -35,22 +41,29 @@
   /** Proxies to control addresses, by node and other node; that of a node to itself is unused. */
   private final List<List<FaultProxy>> controlProxies = new ArrayList<>();
 
-  private SoakNetwork(InvariantChecker checker) {
+  private SoakNetwork(Path directory, WorkerLayout layout, InvariantChecker checker) {
+    this.directory = directory;
+    this.layout = layout;
     this.checker = checker;
-    this.platform = SimulatedPlatform.start(LAYOUT, checker);
+    this.platform = SimulatedPlatform.start(layout, checker);
   }
 
   /** Starts the platform, the proxies and the processes of the nodes. */
   static SoakNetwork start(Path directory, InvariantChecker checker) throws IOException {
-    SoakNetwork network = new SoakNetwork(checker);
+    return start(directory, NODES, LAYOUT, checker);
+  }
+
+  /** Starts the platform, the proxies and the processes of a number of nodes. */
+  static SoakNetwork start(
+      Path directory, int nodeCount, WorkerLayout layout, InvariantChecker checker)
+      throws IOException {
+    SoakNetwork network = new SoakNetwork(directory, layout, checker);
     network.platform.configure(1);
-    for (int i = 0; i < NODES; i++) {
-      StoreView view = network.platform.openStoreView();
-      network.storeViews.add(view);
-      network.nodes.add(new SoakNode("node-" + i, directory, port(view.address())));
+    for (int i = 0; i < nodeCount; i++) {
+      network.createNode();
     }
-    for (int i = 0; i < NODES; i++) {
-      network.startProxies(network.storeViews.get(i));
+    for (StoreView view : network.storeViews) {
+      network.startProxies(view);
     }
     for (SoakNode node : network.nodes) {
       node.start();
@@ -58,9 +71,27 @@
     return network;
   }
 
+  private SoakNode createNode() throws IOException {
+    StoreView view = platform.openStoreView();
+    storeViews.add(view);
+    SoakNode node = new SoakNode("node-" + nodes.size(), directory, port(view.address()));
+    nodes.add(node);
+    return node;
+  }
+
+  /** Starts a further node at an address of its own, such as in place of one that is gone. */
+  void addNode() throws IOException {
+    SoakNode added = createNode();
+    for (int node = 0; node < controlProxies.size(); node++) {
+      controlProxies.get(node).add(startProxy(storeViews.get(node), added.controlAddress));
+    }
+    startProxies(storeViews.get(storeViews.size() - 1));
+    added.start();
+  }
+
   private void startProxies(StoreView view) throws IOException {
     List<FaultProxy> toWorkers = new ArrayList<>();
-    for (int worker = 0; worker < LAYOUT.workers(); worker++) {
+    for (int worker = 0; worker < layout.workers(); worker++) {
       toWorkers.add(startProxy(view, platform.workerAddress(worker)));
     }
     workerProxies.add(toWorkers);
@@ -98,7 +129,7 @@
 
   /** Makes a node silent for the others, as a machine without power is. */
   void silenceControl(int lostNode) {
-    for (int node = 0; node < NODES; node++) {
+    for (int node = 0; node < nodes.size(); node++) {
       controlProxy(node, lostNode).addFault(FaultProxy.Mode.DROP_ALL);
     }
   }
@@ -112,15 +143,15 @@
   }
 
   int workers() {
-    return LAYOUT.workers();
+    return layout.workers();
   }
 
   int zoneOfNode(int node) {
-    return (node + 1) % LAYOUT.zones();
+    return (node + 1) % layout.zones();
   }
 
   int zoneOfWorker(int worker) {
-    return LAYOUT.zoneOf(worker);
+    return layout.zoneOf(worker);
   }
 
   FaultProxy storeProxy(int node) {
@@ -148,7 +179,7 @@
     JsonNode owner = JSON.readTree(stored);
     String name = owner.path("node").asText();
     checker.registerOwner(owner.path("term").asLong(), name);
-    return IntStream.range(0, NODES).filter(i -> nodes.get(i).name.equals(name)).findFirst();
+    return IntStream.range(0, nodes.size()).filter(i -> nodes.get(i).name.equals(name)).findFirst();
   }
 
   @Override
--- a/src/test/java/org/plantainloom/soak/SoakNode.java
+++ b/src/test/java/org/plantainloom/soak/SoakNode.java
@@ -2,6 +2,8 @@
 
 import java.io.File;
 import java.io.IOException;
+import java.net.InetAddress;
+import java.net.Socket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -50,8 +52,7 @@
     command.add(System.getProperty("java.home") + "/bin/java");
     command.addAll(FLAGS);
     command.add("-cp");
-    command.add(
-        System.getProperty("surefire.test.class.path", System.getProperty("java.class.path")));
+    command.add(classPath());
     command.add("org.plantainloom.program.node.NodeMain");
     command.addAll(List.of("--config", settingsFile.toString()));
     process =
@@ -62,6 +63,13 @@
     endedByTest = false;
   }
 
+  /** Returns that of this build, or of another build that is to be compared with it. */
+  private static String classPath() {
+    return System.getProperty(
+        "plantainloom.soak.class-path",
+        System.getProperty("surefire.test.class.path", System.getProperty("java.class.path")));
+  }
+
   /** Returns whether the process exited although the test did not end it. */
   boolean exitedUnexpectedly() {
     return !endedByTest && !process.isAlive();
@@ -87,9 +95,32 @@
     process.destroy();
   }
 
+  /** Waits for the exit of the process that was asked to stop, at most for a time. */
+  boolean awaitExit(long timeoutMs) throws InterruptedException {
+    return process.waitFor(timeoutMs, TimeUnit.MILLISECONDS);
+  }
+
   /** Suspends or resumes the process. */
   void suspend(boolean suspended) throws IOException, InterruptedException {
-    String signal = suspended ? "-STOP" : "-CONT";
+    signal(suspended ? "-STOP" : "-CONT");
+  }
+
+  /** Returns whether callers can connect. */
+  boolean isListening() {
+    int port = Integer.parseInt(callerAddress.substring(callerAddress.indexOf(':') + 1));
+    try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), port)) {
+      return socket.isConnected();
+    } catch (IOException e) {
+      return false;
+    }
+  }
+
+  /** Tells the process that its settings changed. */
+  void hangUp() throws IOException, InterruptedException {
+    signal("-HUP");
+  }
+
+  private void signal(String signal) throws IOException, InterruptedException {
     new ProcessBuilder("kill", signal, Long.toString(process.pid())).start().waitFor();
   }
 
--- a/src/test/java/org/plantainloom/soak/SoakTest.java
+++ b/src/test/java/org/plantainloom/soak/SoakTest.java
@@ -21,6 +21,8 @@
  * mvn -B test -Dtest='SoakTest*' -Dplantainloom.soak.partition.first=1000 -Dplantainloom.soak.partition.seeds=50
  * mvn -B test -Dtest='SoakTest*' -Dplantainloom.soak.cancel.first=1000 -Dplantainloom.soak.cancel.seeds=50
  * mvn -B test -Dtest='SoakTest*' -Dplantainloom.soak.lasting.first=1000 -Dplantainloom.soak.lasting.seeds=50
+ * mvn -B test -Dtest='SoakTest*' -Dplantainloom.soak.series.first=1000 -Dplantainloom.soak.series.seeds=50
+ * mvn -B test -Dtest='SoakTest*' -Dplantainloom.soak.planned.first=1000 -Dplantainloom.soak.planned.seeds=50
  * }</pre>
  */
 public class SoakTest {
@@ -57,6 +59,9 @@
           // owners was gone as well.
           1L);
 
+  /** Seeds of runs with planned work among faults, at whose end each accepted job is asked for. */
+  private static final List<Long> SERIES_SEEDS = List.of(1L);
+
   private static final long PARTITION_FAULTS_MS =
       Long.getLong("plantainloom.soak.partition.faults-ms", 35_000);
 
@@ -83,6 +88,32 @@
     assertHeld(runAll(DisruptionProfile.LASTING_TASKS, LASTING_SEEDS));
   }
 
+  @Test
+  public void should_lose_no_job_task_or_response() throws Exception {
+    assertHeld(runAll(LossProfile.SERIES, SERIES_SEEDS));
+    assertHeld(runAll(LossProfile.PLANNED, List.of()));
+  }
+
+  private static Map<Long, List<String>> runAll(LossProfile profile, List<Long> seeds)
+      throws Exception {
+    return runAll(
+        seeds(seeds, "plantainloom.soak." + profile.label()),
+        seed -> {
+          try (LossSoakRun run = LossSoakRun.start(profile, seed)) {
+            List<String> violations = run.execute();
+            System.out.println(
+                profile.label()
+                    + " soak seed="
+                    + seed
+                    + " "
+                    + run.summary()
+                    + " broken="
+                    + violations);
+            return violations;
+          }
+        });
+  }
+
   private static Map<Long, List<String>> runAll(DisruptionProfile profile, List<Long> seeds)
       throws Exception {
     return runAll(
