Count the long requests beside planned work, and end a soak whose nodes do not stay up

What callers saw: nothing. On a fast machine most requests end within the 200 ms that the rule for cut requests allows, so that a run may judge none; the summary of a run now counts those that it judged. A build whose nodes end at once, as one that does not know the settings, was started 575 times in one run of 80 s on a shared machine; such a run now ends after ten exits.

--- a/src/test/java/org/plantainloom/soak/CutRequestRule.java
+++ b/src/test/java/org/plantainloom/soak/CutRequestRule.java
@@ -44,6 +44,19 @@
     return violations;
   }
 
+  /** Returns the number of requests that were open for longer than the slack beside such work. */
+  long judged(List<Exchange> exchanges) {
+    return exchanges.stream()
+        .filter(exchange -> exchange.end() != Exchange.End.NOT_SENT)
+        .filter(this::isLongInCalm)
+        .filter(
+            exchange ->
+                work.signalBeside(exchange)
+                    .or(() -> work.configurationBeside(exchange))
+                    .isPresent())
+        .count();
+  }
+
   private Optional<PlannedWork.Item> cause(Exchange cut, List<Exchange> exchanges) {
     return work.signalBeside(cut)
         .or(
@@ -54,8 +67,11 @@
   }
 
   private boolean isCutInCalm(Exchange exchange) {
-    return exchange.end() == Exchange.End.CUT
-        && exchange.durationMs() > SLACK_MS
+    return exchange.end() == Exchange.End.CUT && isLongInCalm(exchange);
+  }
+
+  private boolean isLongInCalm(Exchange exchange) {
+    return exchange.durationMs() > SLACK_MS
         && exchange.durationMs() < Exchange.DEADLINE_MS
         && faults.isWithoutImpairment(
             exchange.sentMs() - FaultTimeline.CONTACT_MS, exchange.endMs());
--- a/src/test/java/org/plantainloom/soak/CutRequestRuleTest.java
+++ b/src/test/java/org/plantainloom/soak/CutRequestRuleTest.java
@@ -56,6 +56,14 @@
                       .contains("CUT after 201 ms"));
     }
 
+    @Test
+    public void should_count_the_long_requests_whether_they_were_cut_or_not() {
+      cut(SIGNAL_MS, SLACK_MS);
+      cut(SIGNAL_MS, SLACK_MS + 1);
+      exchanges.add(exchange(NODE, SIGNAL_MS, SLACK_MS + 1, Exchange.End.ANSWERED));
+      assertThat(new CutRequestRule(work, faults).judged(exchanges)).isEqualTo(2);
+    }
+
     @Test
     public void should_accept_a_connection_that_ended_within_the_slack() {
       cut(SIGNAL_MS + 3_000, SLACK_MS);
--- a/src/test/java/org/plantainloom/soak/LossSoakRun.java
+++ b/src/test/java/org/plantainloom/soak/LossSoakRun.java
@@ -40,6 +40,9 @@
   /** Limit of the wait for a time in which the machine gives the platform its processor time. */
   private static final long MAX_FINISH_MS = 90_000;
 
+  /** Number of exits after which a run ends: each start of a process takes a second of a core. */
+  private static final int MAX_UNEXPECTED_EXITS = 10;
+
   private final LossProfile profile;
   private final Random random;
   private final Path directory;
@@ -51,6 +54,7 @@
   private final LossInjector injector;
   private final LossTraffic traffic;
   private final LossCallers callers;
+  private int unexpectedExits;
 
   /** Starts a fault or planned work. */
   @FunctionalInterface
@@ -145,6 +149,8 @@
         + all.stream().filter(exchange -> exchange.end() == Exchange.End.CUT).count()
         + " planned="
         + injector.work().size()
+        + " slow-beside-planned="
+        + new CutRequestRule(injector.work(), faults.timeline()).judged(all)
         + " stalls="
         + stallProbe.stalls().size();
   }
@@ -175,6 +181,9 @@
       SoakNode node = network.nodes().get(i);
       if (!injector.isGone(i) && node.exitedUnexpectedly()) {
         checker.report(node.name + " exited unexpectedly");
+        if (++unexpectedExits > MAX_UNEXPECTED_EXITS) {
+          throw new IllegalStateException("the nodes do not stay up, see their logs");
+        }
         node.start();
       }
     }
