Let a series of the soak end with a worker and its owner, or all nodes, gone

What callers saw: lasting tasks were away for over 9 s in runs by hand in which the owner or all nodes were lost with a worker at the moment before the calm. The random faults of a series seldom end so.

Each series draws what happens at its last moment: nothing, or a worker with a lasting task is lost and its owner, or all nodes, are killed. Nodes come back at once, some of them elsewhere.

--- a/src/test/java/org/plantainloom/soak/FinishedTrafficRule.java
+++ b/src/test/java/org/plantainloom/soak/FinishedTrafficRule.java
@@ -48,7 +48,14 @@
     if (answers.isEmpty()) {
       violations.add(
           new Violation(
-              dueMs, LastingTaskRule.LOST + " not answered: " + job.id() + ", asked " + queries));
+              dueMs,
+              LastingTaskRule.LOST
+                  + " not answered: "
+                  + job.id()
+                  + ", asked "
+                  + queries.size()
+                  + " times, at last "
+                  + queries.stream().reduce((first, last) -> last)));
     }
     answers.stream()
         .filter(answer -> answer.status() == Exchange.GONE)
--- a/src/test/java/org/plantainloom/soak/IdleJobRule.java
+++ b/src/test/java/org/plantainloom/soak/IdleJobRule.java
@@ -53,7 +53,7 @@
                                 + " nothing of a job runs though the turn of "
                                 + task
                                 + " has come; its runs: "
-                                + runs(job))));
+                                + runsOf(task))));
       }
     }
     return violations;
@@ -110,6 +110,13 @@
         .toList();
   }
 
+  private List<String> runsOf(TaskKey task) {
+    return history.entries().stream()
+        .filter(run -> isOf(run, task))
+        .map(run -> run.run().number() + " on " + run.run().worker() + " " + run.outcome())
+        .toList();
+  }
+
   private List<RunHistory.Entry> runs(SoakJob job) {
     return history.entries().stream().filter(run -> run.jobId().equals(job.id())).toList();
   }
--- a/src/test/java/org/plantainloom/soak/LossCallers.java
+++ b/src/test/java/org/plantainloom/soak/LossCallers.java
@@ -12,7 +12,7 @@
  */
 final class LossCallers implements AutoCloseable {
   private static final Range PAUSE_MS = new Range(40, 360);
-  private static final int RECONNECT_PAUSE_MS = 20;
+  private static final int SHORT_PAUSE_MS = 20;
 
   private final SoakNetwork network;
   private final LossTraffic traffic;
@@ -55,7 +55,7 @@
           if (channel.isEmpty()) {
             // The first address is tried again, even while its process stops, until it is refused.
             node = random.nextInt(network.nodes().size());
-            Thread.sleep(RECONNECT_PAUSE_MS);
+            Thread.sleep(SHORT_PAUSE_MS);
             continue;
           }
         }
@@ -67,9 +67,7 @@
                     traffic.ended(
                         request, open.send(request.method(), request.job().id(), request.body())));
         channel = channel.filter(HttpChannel::isOpen);
-        if (!traffic.isAsking()) {
-          Thread.sleep(PAUSE_MS.draw(random));
-        }
+        Thread.sleep(traffic.isAsking() ? SHORT_PAUSE_MS : PAUSE_MS.draw(random));
       }
     } catch (InterruptedException e) {
       // The callers were closed.
--- a/src/test/java/org/plantainloom/soak/LossInjector.java
+++ b/src/test/java/org/plantainloom/soak/LossInjector.java
@@ -1,9 +1,11 @@
 package org.plantainloom.soak;
 
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
 import java.util.stream.IntStream;
@@ -191,7 +193,24 @@
 
   /** Takes a worker away for good, unless many are gone already. */
   void loseWorker(int worker) throws Exception {
-    if (lostWorkers.size() < MAX_LOST_WORKERS && !schedule.isActive("worker " + worker)) {
+    if (lostWorkers.size() < MAX_LOST_WORKERS) {
+      removeWorker(worker);
+    }
+  }
+
+  /** Takes the worker away for good on which a task runs for the longest, as lasting ones do. */
+  void loseBusyWorker() throws Exception {
+    Optional<RunHistory.Entry> oldest =
+        checker.history().entries().stream()
+            .filter(run -> run.endMs().isEmpty())
+            .min(Comparator.comparingLong(RunHistory.Entry::startMs));
+    if (oldest.isPresent()) {
+      removeWorker(SoakNetwork.workerNumber(oldest.get().run().worker()));
+    }
+  }
+
+  private void removeWorker(int worker) throws Exception {
+    if (!schedule.isActive("worker " + worker)) {
       schedule.strike(
           "lost worker " + worker + " for good",
           FaultScope.ofOthers(),
--- a/src/test/java/org/plantainloom/soak/LossProfile.java
+++ b/src/test/java/org/plantainloom/soak/LossProfile.java
@@ -51,6 +51,36 @@
     }
   }
 
+  /** What happens at the last moment before the calm. */
+  enum LastBlow {
+    NONE {
+      @Override
+      void strike(LossInjector injector, int owner) {}
+    },
+    /** A worker with a lasting task is lost, and its owner is killed. */
+    WORKER_AND_OWNER {
+      @Override
+      void strike(LossInjector injector, int owner) throws Exception {
+        injector.loseBusyWorker();
+        injector.kill(owner < 0 ? injector.drawNode(owner) : owner, true);
+      }
+    },
+    /** A worker with a lasting task is lost, and all nodes are killed. */
+    WORKER_AND_NODES {
+      @Override
+      void strike(LossInjector injector, int owner) throws Exception {
+        injector.loseBusyWorker();
+        injector.killAll();
+      }
+    };
+
+    static LastBlow draw(Random random) {
+      return values()[random.nextInt(values().length)];
+    }
+
+    abstract void strike(LossInjector injector, int owner) throws Exception;
+  }
+
   /** Starts one random fault, or some planned work. */
   void disrupt(LossInjector injector, int owner) throws Exception {
     Random random = injector.random();
--- a/src/test/java/org/plantainloom/soak/LossSoakRun.java
+++ b/src/test/java/org/plantainloom/soak/LossSoakRun.java
@@ -54,6 +54,7 @@
   private final LossInjector injector;
   private final LossTraffic traffic;
   private final LossCallers callers;
+  private final LossProfile.LastBlow lastBlow;
   private int unexpectedExits;
 
   /** Starts a fault or planned work. */
@@ -72,6 +73,7 @@
     this.injector = new LossInjector(network, checker, faults, new Random(random.nextLong()));
     this.traffic =
         new LossTraffic(exchanges, checker, new Random(random.nextLong()), WORKERS / USUAL_WORKERS);
+    this.lastBlow = LossProfile.LastBlow.draw(random);
     this.callers = LossCallers.start(network, traffic, CALLERS, checker, random);
   }
 
@@ -91,6 +93,10 @@
     }
     disrupt(profile.plannedMs(), PLANNED_PAUSE_MS, profile::plan);
     disrupt(profile.disruptedMs(), FAULT_PAUSE_MS, profile::disrupt);
+    if (profile.disruptedMs() > 0) {
+      faults.record("last blow " + lastBlow);
+      lastBlow.strike(injector, network.owner().orElse(-1));
+    }
     faults.healAll();
     faults.record("calm from here");
     stepFor(CALM_MS);
