--- a/src/test/java/org/plantainloom/soak/OwnerChangeRun.java
+++ b/src/test/java/org/plantainloom/soak/OwnerChangeRun.java
@@ -62,7 +62,7 @@
   private OwnerChangeRun(OwnerChange change, Path directory) throws Exception {
     this.change = change;
     this.directory = directory;
-    this.network = SoakNetwork.start(directory, checker, change.nodes(), LAYOUT);
+    this.network = SoakNetwork.start(directory, change.nodes(), LAYOUT, checker);
     this.stallProbe = StallProbe.start(network.platform().storeAddress());
     this.callers = new SoakCallers(network.nodes(), checker, new Random());
   }
--- a/src/test/java/org/plantainloom/soak/SoakNetwork.java
+++ b/src/test/java/org/plantainloom/soak/SoakNetwork.java
@@ -7,6 +7,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.OptionalInt;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.stream.IntStream;
 import org.plantainloom.platform.standin.SimulatedPlatform;
 import org.plantainloom.platform.standin.StoreView;
@@ -28,7 +29,10 @@
   private final Path directory;
   private final WorkerLayout layout;
   private final SimulatedPlatform platform;
-  private final List<SoakNode> nodes = new ArrayList<>();
+
+  /** Callers read it while nodes are added. */
+  private final List<SoakNode> nodes = new CopyOnWriteArrayList<>();
+
   private final List<StoreView> storeViews = new ArrayList<>();
 
   /** Proxies to workers, by node and worker. */
@@ -40,31 +44,29 @@
   /** Proxies to control addresses that nodes had before. */
   private final List<FaultProxy> formerProxies = new ArrayList<>();
 
-  private SoakNetwork(Path directory, InvariantChecker checker, WorkerLayout layout) {
+  private SoakNetwork(Path directory, WorkerLayout layout, InvariantChecker checker) {
     this.directory = directory;
-    this.checker = checker;
     this.layout = layout;
+    this.checker = checker;
     this.platform = SimulatedPlatform.start(layout, checker);
   }
 
   /** Starts the platform, the proxies and the processes of the nodes. */
   static SoakNetwork start(Path directory, InvariantChecker checker) throws IOException {
-    return start(directory, checker, NODES, LAYOUT);
+    return start(directory, NODES, LAYOUT, checker);
   }
 
   /** Starts the platform, the proxies and the processes of a number of nodes. */
   static SoakNetwork start(
-      Path directory, InvariantChecker checker, int nodeCount, WorkerLayout layout)
+      Path directory, int nodeCount, WorkerLayout layout, InvariantChecker checker)
       throws IOException {
-    SoakNetwork network = new SoakNetwork(directory, checker, layout);
+    SoakNetwork network = new SoakNetwork(directory, layout, checker);
     network.platform.configure(1);
     for (int i = 0; i < nodeCount; i++) {
-      StoreView view = network.platform.openStoreView();
-      network.storeViews.add(view);
-      network.nodes.add(new SoakNode("node-" + i, directory, port(view.address())));
+      network.createNode();
     }
-    for (int i = 0; i < nodeCount; i++) {
-      network.startProxies(network.storeViews.get(i));
+    for (StoreView view : network.storeViews) {
+      network.startProxies(view);
     }
     for (SoakNode node : network.nodes) {
       node.start();
@@ -72,6 +74,24 @@
     return network;
   }
 
+  private SoakNode createNode() throws IOException {
+    StoreView view = platform.openStoreView();
+    storeViews.add(view);
+    SoakNode node = new SoakNode("node-" + nodes.size(), directory, port(view.address()));
+    nodes.add(node);
+    return node;
+  }
+
+  /** Starts a further node at an address of its own, such as in place of one that is gone. */
+  void addNode() throws IOException {
+    SoakNode added = createNode();
+    for (int node = 0; node < controlProxies.size(); node++) {
+      controlProxies.get(node).add(startProxy(storeViews.get(node), added.controlAddress));
+    }
+    startProxies(storeViews.get(storeViews.size() - 1));
+    added.start();
+  }
+
   private void startProxies(StoreView view) throws IOException {
     List<FaultProxy> toWorkers = new ArrayList<>();
     for (int worker = 0; worker < layout.workers(); worker++) {
