--- a/src/main/java/org/plantainloom/platform/PlatformWorkers.java
+++ b/src/main/java/org/plantainloom/platform/PlatformWorkers.java
@@ -25,7 +25,10 @@
   private static final long COMMAND_TIMEOUT_MS = 600;
 
   /** Time that the network and a busy worker may add to the requested wait of a poll. */
-  private static final long POLL_SLACK_MS = 700;
+  private static final long POLL_SLACK_MS = 500;
+
+  /** Shortest timeout of a poll; a process that has just started sends its first ones slowly. */
+  private static final long SHORTEST_POLL_TIMEOUT_MS = 700;
 
   /** A worker lists no more ended runs at a time. */
   static final int MAX_LISTED_ENDS = 500;
@@ -150,8 +153,8 @@
     if (waitMs > 0) {
       body.put("wait-ms", waitMs);
     }
-    return send(worker, "/-/hold", body, waitMs + POLL_SLACK_MS)
-        .thenApply(PlatformWorkers::pollReply);
+    long timeoutMs = Math.max(waitMs + POLL_SLACK_MS, SHORTEST_POLL_TIMEOUT_MS);
+    return send(worker, "/-/hold", body, timeoutMs).thenApply(PlatformWorkers::pollReply);
   }
 
   private static PollReply pollReply(PlatformHttpReply reply) {
