Put lasting tasks that have run first only where room is seen

And where the only room was on a suspended worker, a lasting task waited for up to 16 s (LOST).

Cause: lasting tasks went first whether or not there was room that an observer could count. A suspension keeps all tasks away, though its room counts.

Change: a lasting task that has run goes first once there has been room for one more in a third of the last 2 s, sampled as an observer sees it: a short task whose start is on its way takes none.

--- a/src/main/java/org/plantainloom/coordination/dispatch/PhaseRanking.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/PhaseRanking.java
@@ -8,14 +8,14 @@
 /**
  * The order in which ready phases get resources when not all of them fit.
  *
- * <p>Lasting tasks that have run go first, whatever their queue: they had their room before, so
- * that they take none from the others, and each second without them is one without their service.
- * Then urgent queues go first. Within a priority, jobs that can still meet their objective go
- * first, the one with the least slack before the others: they return their room within seconds.
- * Then come lasting tasks, whose value grows with every second that they serve, then jobs that are
- * late but still count, then the rest. Without the preference for jobs that can be on time, a
- * backlog would spend all resources on jobs that are already late, and every new job would become
- * late behind them.
+ * <p>Lasting tasks that have run go first, whatever their queue, if there is room for one more
+ * again and again: the platform counts such a task as lost, though the owner gives each place to
+ * the next short task. Its room was its own before. Then urgent queues go first. Within a priority,
+ * jobs that can still meet their objective go first, the one with the least slack before the
+ * others: they return their room within seconds. Then come lasting tasks, whose value grows with
+ * every second that they serve, then jobs that are late but still count, then the rest. Without the
+ * preference for jobs that can be on time, a backlog would spend all resources on jobs that are
+ * already late, and every new job would become late behind them.
  */
 final class PhaseRanking {
   /** A job that takes longer than this many times its objective counts as missed, not as late. */
@@ -42,17 +42,17 @@
   /**
    * Position of a phase among the waiting ones; the smallest goes first.
    *
-   * @param again whether the tasks last and have run
+   * @param first whether the tasks go before all others
    * @param priority the queue's priority
    * @param group order of the kinds of phase within a priority
    * @param latestStartMs latest start of the phase that keeps the objective; for lasting tasks the
    *     time at which they became due
    * @param acceptedMs when the job was accepted
    */
-  record Rank(boolean again, int priority, Group group, long latestStartMs, long acceptedMs)
+  record Rank(boolean first, int priority, Group group, long latestStartMs, long acceptedMs)
       implements Comparable<Rank> {
     private static final Comparator<Rank> ORDER =
-        Comparator.comparing((Rank rank) -> !rank.again())
+        Comparator.comparing((Rank rank) -> !rank.first())
             .thenComparingInt(Rank::priority)
             .thenComparing(Rank::group)
             .thenComparingLong(Rank::latestStartMs)
@@ -67,15 +67,15 @@
   /**
    * Returns the position of some tasks of a phase.
    *
-   * @param again whether they last and have run
+   * @param first whether they go before all others
    */
-  Rank rank(PhaseState phase, boolean again, long wallMs) {
+  Rank rank(PhaseState phase, boolean first, long wallMs) {
     JobState job = phase.job;
     QueueConfig queue = config.queue(job.spec.queue()).orElse(null);
     int priority = queue == null ? Integer.MAX_VALUE : queue.priority();
     long releasedMs = Math.max(job.spec.acceptedMs(), job.spec.dueMs(phase.occurrence));
     if (phase.spec.lasting()) {
-      return new Rank(again, priority, Group.LASTING, releasedMs, job.spec.acceptedMs());
+      return new Rank(first, priority, Group.LASTING, releasedMs, job.spec.acceptedMs());
     }
     double stretchFactor = queue == null ? 1 : queue.stretchFactor();
     long fixedMs = queue == null ? 0 : queue.objectiveMs();
--- a/src/main/java/org/plantainloom/coordination/dispatch/PlacementFailures.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/PlacementFailures.java
@@ -16,29 +16,29 @@
 
   /** The properties, besides the resource need, that decide where a task may run. */
   private record TaskKind(
-      String service, String image, boolean fills, boolean again, String label, String rack) {}
+      String service, String image, boolean fills, boolean first, String label, String rack) {}
 
-  private static TaskKind kind(PhaseState phase, boolean again, String service) {
+  private static TaskKind kind(PhaseState phase, boolean first, String service) {
     PhaseSpec spec = phase.spec;
     String image = spec.fillsIdleCpu() ? phase.imageKey : "";
     return new TaskKind(
-        service, image, spec.fillsIdleCpu(), again, spec.requiredLabel(), spec.preferredRack());
+        service, image, spec.fillsIdleCpu(), first, spec.requiredLabel(), spec.preferredRack());
   }
 
   /** Records that a task of the phase fitted on no worker. */
-  void add(PhaseState phase, boolean again, String service) {
+  void add(PhaseState phase, boolean first, String service) {
     // A limit of tasks per worker concerns this phase only and says nothing about similar ones.
     if (phase.spec.maxPerWorker() == 0) {
       unplaceableNeeds.merge(
-          kind(phase, again, service),
+          kind(phase, first, service),
           phase.spec.need(),
           (smallest, need) -> need.fitsIn(smallest) ? need : smallest);
     }
   }
 
   /** Returns whether a similar phase that needs no more than this one has found no worker. */
-  boolean covers(PhaseState phase, boolean again, String service) {
-    ResourceVector unplaceable = unplaceableNeeds.get(kind(phase, again, service));
+  boolean covers(PhaseState phase, boolean first, String service) {
+    ResourceVector unplaceable = unplaceableNeeds.get(kind(phase, first, service));
     return unplaceable != null && unplaceable.fitsIn(phase.spec.need());
   }
 }
--- a/src/main/java/org/plantainloom/coordination/dispatch/TaskState.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/TaskState.java
@@ -17,7 +17,7 @@
   /** Whether a run of the task, or of its gang, has succeeded. */
   boolean done;
 
-  /** For a task that lasts, whether it has run. It goes before tasks that did not have its room. */
+  /** For a task that lasts, whether it has run, under this owner or a previous one. */
   boolean begun;
 
   String checkpoint = "";
--- a/src/main/java/org/plantainloom/coordination/dispatch/WorkerState.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/WorkerState.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import java.util.function.Function;
 import org.plantainloom.state.ResourceVector;
+import org.plantainloom.state.job.PhaseSpec;
 import org.plantainloom.state.job.TaskKey;
 import org.plantainloom.state.job.WorkerRegistration;
 
@@ -73,6 +74,10 @@
   Map<PhaseState, ServingGroup> servingGroups = Map.of();
 
   long suspendedUntilMs;
+
+  /** Until when a run of unknown size may use room. */
+  long unknownRunUntilMs;
+
   private long nextSuspensionMs = INITIAL_SUSPENSION_MS;
   private long suspensionEndMs;
   final Map<TaskKey, Run> runs = new HashMap<>();
@@ -124,6 +129,18 @@
     return reserved;
   }
 
+  /** Returns what is reserved, but for short tasks whose start has not been answered. */
+  ResourceVector reservedByStarted() {
+    ResourceVector started = reserved;
+    for (Run run : runs.values()) {
+      PhaseSpec spec = run.task.phase.spec;
+      if (run.stage == Run.Stage.STARTING && !spec.lasting() && !spec.fillsIdleCpu()) {
+        started = started.minus(spec.need());
+      }
+    }
+    return started;
+  }
+
   /** Returns the estimated idle processor time while fill tasks use all that they need. */
   int idleCpuMillis() {
     int unused = (int) (servingCpuMillis * (1 - SERVING_CPU_USE));
@@ -259,6 +276,7 @@
     life = Optional.of(newLife);
     runs.values().forEach(Run::repeatStop);
     suspendedUntilMs = 0;
+    unknownRunUntilMs = 0;
     suspensionEndMs = 0;
     resetFailures();
     return over;
