Wait for the runs beside lost workers that go on

With plantainloom.soak.lost-workers-go-on a play ended at once, as the runs on lost workers counted as running: it judged nothing. Only the runs on other workers count now, so that a play goes on until a successor has started the tasks again.

--- a/src/test/java/org/plantainloom/soak/OwnerChangeRun.java
+++ b/src/test/java/org/plantainloom/soak/OwnerChangeRun.java
@@ -161,9 +161,12 @@
     return runsByWorker().values().stream().mapToInt(Integer::intValue).sum() == JOBS * WIDTH;
   }
 
+  /** Returns the number of active runs of each worker that is not lost. */
   private Map<Integer, Integer> runsByWorker() {
-    return checker.history().entries().stream()
+    RunHistory history = checker.history();
+    return history.entries().stream()
         .filter(run -> run.endMs().isEmpty())
+        .filter(run -> !history.isWorkerLost(run.run().worker(), SoakRun.nowMs()))
         .collect(
             Collectors.toMap(
                 run -> SoakNetwork.workerNumber(run.run().worker()), run -> 1, Integer::sum));
