Lose a worker at the last blow of a series even if nothing runs

What callers saw: nothing; the worker with the oldest run was to be lost at the last blow, and none was when the leases of all workers had run out before it. A worker is drawn then.

--- a/src/test/java/org/plantainloom/soak/LossInjector.java
+++ b/src/test/java/org/plantainloom/soak/LossInjector.java
@@ -5,7 +5,6 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
 import java.util.stream.IntStream;
@@ -200,13 +199,13 @@
 
   /** Takes the worker away for good on which a task runs for the longest, as lasting ones do. */
   void loseBusyWorker() throws Exception {
-    Optional<RunHistory.Entry> oldest =
+    int worker =
         checker.history().entries().stream()
             .filter(run -> run.endMs().isEmpty())
-            .min(Comparator.comparingLong(RunHistory.Entry::startMs));
-    if (oldest.isPresent()) {
-      removeWorker(SoakNetwork.workerNumber(oldest.get().run().worker()));
-    }
+            .min(Comparator.comparingLong(RunHistory.Entry::startMs))
+            .map(run -> SoakNetwork.workerNumber(run.run().worker()))
+            .orElseGet(this::drawWorker);
+    removeWorker(worker);
   }
 
   private void removeWorker(int worker) throws Exception {
