Read the jobs once the list is sent after which leases are renewed

Cause: a new owner renews leases from its first confirmation on, which waits for the answers of workers. Reading 287 jobs in a process that has just started on 0.3 of a core kept it from handling these answers and the reply to that confirmation for 1.7 s.

Change: the jobs are read once the list with the first confirmation is sent, and it waits 0.4 s for answers instead of 0.3 s.

--- a/src/main/java/org/plantainloom/coordination/dispatch/InheritedWorkers.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/InheritedWorkers.java
@@ -16,7 +16,7 @@
  */
 public final class InheritedWorkers {
   /** How long the first act of an owner waits for workers; leases have more than that left. */
-  private static final long FIRST_ANSWERS_MS = 300;
+  private static final long FIRST_ANSWERS_MS = 400;
 
   private final WorkerTable workers;
   private final WorkerPolls polls;
--- a/src/main/java/org/plantainloom/transport/dispatch/OwnerSession.java
+++ b/src/main/java/org/plantainloom/transport/dispatch/OwnerSession.java
@@ -100,7 +100,17 @@
             dispatcher,
             ownership,
             confirmations,
-            this::listStored,
+            new ProgressWriter.ListListener() {
+              @Override
+              public void onFirstSent() {
+                loadJobs();
+              }
+
+              @Override
+              public void onStored() {
+                listStored();
+              }
+            },
             this::scheduleRound);
     this.previousOwnersInquiry = ownership.previousOwners().map(this::inquire);
     ownership.lastConfirmation().ifPresent(dispatcher::previousOwnerConfirmed);
@@ -125,12 +135,19 @@
   }
 
   /**
-   * Reads the fleet, the jobs and their progress. Workers are contacted as soon as the fleet is
-   * known, as the leases of running tasks must be renewed; their replies are held back until the
+   * Reads the fleet, then the jobs and their progress. Workers are contacted as soon as the fleet
+   * is known, as the leases of running tasks must be renewed; their replies are held back until the
    * jobs are known.
    */
   private void load() {
     read(StoreKeys.FLEET, (fleet, sentMs, sentWallMs) -> onFleet(fleet));
+  }
+
+  /**
+   * Reads the jobs and their progress, once the list has been sent after which leases can be
+   * renewed: a process that has just started takes a second to read hundreds of jobs.
+   */
+  private void loadJobs() {
     read(
         StoreKeys.JOBS,
         (jobs, sentMs, sentWallMs) -> {
--- a/src/main/java/org/plantainloom/transport/dispatch/ProgressWriter.java
+++ b/src/main/java/org/plantainloom/transport/dispatch/ProgressWriter.java
@@ -40,13 +40,15 @@
   private final Dispatcher dispatcher;
   private final Ownership ownership;
   private final OwnershipConfirmations confirmations;
-  private final Runnable listListener;
+  private final ListListener listListener;
   private final Runnable scheduleRound;
   private final Counter commitCounter;
 
   /** Revision of the stored list of workers; 0 if there is none. */
   private long fleetRevision;
 
+  private boolean firstListSent;
+
   private boolean ownersSettled;
   private boolean busy;
   private boolean closed;
@@ -55,7 +57,6 @@
   /**
    * Creates a writer.
    *
-   * @param listListener called when the list of workers was stored
    * @param scheduleRound called when a write has ended
    */
   ProgressWriter(
@@ -65,7 +66,7 @@
       Dispatcher dispatcher,
       Ownership ownership,
       OwnershipConfirmations confirmations,
-      Runnable listListener,
+      ListListener listListener,
       Runnable scheduleRound) {
     this.node = node;
     this.eventLoop = eventLoop;
@@ -134,9 +135,13 @@
           fleetRevision = revisionOf(StoreKeys.FLEET, current);
           confirmations.firstConflicted(current);
           if (confirmations.hasBegun()) {
-            listListener.run();
+            listListener.onStored();
           }
         });
+    if (!firstListSent) {
+      firstListSent = true;
+      listListener.onFirstSent();
+    }
   }
 
   boolean isIdle() {
@@ -169,7 +174,7 @@
     LOG.infof(
         "event=fleet-persisted workers=%d silent=%d revision=%d",
         fleet.size(), fleet.stream().filter(FleetMember::silent).count(), revision);
-    listListener.run();
+    listListener.onStored();
   }
 
   private void persistProgress(ProgressBatch batch) {
@@ -234,6 +239,15 @@
         current -> {});
   }
 
+  /** Learns how far the list of workers is stored. */
+  interface ListListener {
+    /** Called when the list with which the owner begins to act is sent for the first time. */
+    void onFirstSent();
+
+    /** Called when a list was stored. */
+    void onStored();
+  }
+
   /** Called when a transaction was committed. */
   @FunctionalInterface
   private interface CommitListener {
--- a/src/test/java/org/plantainloom/coordination/dispatch/TakeoverTest.java
+++ b/src/test/java/org/plantainloom/coordination/dispatch/TakeoverTest.java
@@ -295,7 +295,7 @@
     WorkerRegistration silent = simulation.workers.get(0).registration;
     assertThat(inherited.answered(silent, noAnswer, simulation.nowMs, simulation.nowMs)).isEmpty();
     // and also once the owner may act
-    simulation.nowMs += 300;
+    simulation.nowMs += 400;
     simulation.begin();
     assertThat(inherited.renewals(simulation.nowMs, simulation.nowMs)).isEmpty();
   }
--- a/src/test/java/org/plantainloom/transport/dispatch/ProgressWriterTest.java
+++ b/src/test/java/org/plantainloom/transport/dispatch/ProgressWriterTest.java
@@ -92,7 +92,7 @@
             dispatcher,
             ownership,
             confirmations,
-            () -> {},
+            new NoListener(),
             () -> {});
   }
 
@@ -235,4 +235,12 @@
       return new CompletableFuture<>();
     }
   }
+
+  private static final class NoListener implements ProgressWriter.ListListener {
+    @Override
+    public void onFirstSent() {}
+
+    @Override
+    public void onStored() {}
+  }
 }
