End all plays of owner changes before the first failure is thrown

A play that could not start (no node accepted a job within 30 s, once in 29 plays at a load average of 51) ended the test while other plays went on. The process ended with it and left their nodes running. All plays end and close their nodes now before a failure is thrown.

--- a/src/test/java/org/plantainloom/soak/OwnerChangeTest.java
+++ b/src/test/java/org/plantainloom/soak/OwnerChangeTest.java
@@ -8,6 +8,7 @@
 import java.util.EnumSet;
 import java.util.List;
 import java.util.Set;
+import java.util.concurrent.Callable;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
@@ -67,12 +68,13 @@
       throws Exception {
     ExecutorService executor = Executors.newFixedThreadPool(PARALLEL_RUNS);
     try {
-      List<Future<OwnerChangeRun.Result>> running = new ArrayList<>();
+      List<Callable<OwnerChangeRun.Result>> plays = new ArrayList<>();
       for (int round = 0; round < ROUNDS; round++) {
-        changes.forEach(change -> running.add(executor.submit(() -> play(change))));
+        changes.forEach(change -> plays.add(() -> play(change)));
       }
       List<OwnerChangeRun.Result> results = new ArrayList<>();
-      for (Future<OwnerChangeRun.Result> result : running) {
+      // All plays have ended their nodes before the first failure is thrown.
+      for (Future<OwnerChangeRun.Result> result : executor.invokeAll(plays)) {
         results.add(result.get());
       }
       return results;
