Wait for as long as an owner of an older release acts

What callers saw: none; found by an independent review.

Cause: an owner of this release acts for 1 s after a confirmation, one of the release before for 2 s. The successor counted 1 s for both, so that a lease which the older owner had renewed late could hold for another second.

Change: only a confirmation that names workers' clocks is one of an owner that acts for 1 s; without such a confirmation, the former owner counts as acting for 2 s. Confirmations name 16 workers of a zone instead of 6: in a zone of 14 workers nothing dated the confirmation if the six that were named were lost.

--- a/src/main/java/org/plantainloom/coordination/dispatch/DispatchPolicy.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/DispatchPolicy.java
@@ -9,8 +9,9 @@
  * @param idlePollWaitMs long-poll wait at a worker without runs; the platform's maximum
  * @param throttlingPollWaitMs long-poll wait at a worker whose tail latency is being controlled;
  *     half of the window over which workers measure it
- * @param previousOwnerActsMs longest time after a takeover in which a previous owner that has not
- *     answered may start tasks and renew leases
+ * @param previousOwnerActsMs longest time after its last confirmation in which a previous owner of
+ *     this release may start tasks and renew leases
+ * @param olderReleaseActsMs the same for an owner of any release that is still in use
  * @param takeoverTimeoutMs time after a takeover by which the leases that unknown previous owners
  *     gave have expired: up to the platform's maximum
  */
@@ -21,6 +22,7 @@
     long idlePollWaitMs,
     long throttlingPollWaitMs,
     long previousOwnerActsMs,
+    long olderReleaseActsMs,
     long takeoverTimeoutMs) {
   /**
    * Longest lease, even if the platform allows more. Running tasks have to survive a change of
@@ -50,7 +52,8 @@
         IDLE_POLL_WAIT_MS,
         THROTTLING_POLL_WAIT_MS,
         OwnershipLease.longestActingMs(),
-        longestLeaseMs(maxLeaseMs) + OwnershipLease.longestActingMs());
+        OwnershipLease.longestActingOfAnyReleaseMs(),
+        longestLeaseMs(maxLeaseMs) + OwnershipLease.longestActingOfAnyReleaseMs());
   }
 
   /** Returns how long a lease may last on this process's clock, in milliseconds. */
@@ -60,7 +63,7 @@
 
   /** Returns how long any lease that the platform allows may last, in milliseconds. */
   long longestPlatformLeaseMs() {
-    return takeoverTimeoutMs - previousOwnerActsMs;
+    return takeoverTimeoutMs - olderReleaseActsMs;
   }
 
   private static long longestLeaseMs(long leaseMs) {
--- a/src/main/java/org/plantainloom/coordination/dispatch/LastConfirmation.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/LastConfirmation.java
@@ -21,7 +21,7 @@
 public final class LastConfirmation {
   private final OwnerTime time;
   private final OwnerClocks clocks;
-  private final boolean claimsConfirm;
+  private final boolean namesWorkerClocks;
   private final Map<String, WorkerClockReading> workerClocks = new HashMap<>();
 
   /**
@@ -36,12 +36,17 @@
       OwnerTime time, Optional<List<WorkerClockReading>> workerClocks, OwnerClocks clocks) {
     this.time = time;
     this.clocks = clocks;
-    this.claimsConfirm = workerClocks.isEmpty();
+    this.namesWorkerClocks = workerClocks.isPresent();
     workerClocks
         .orElse(List.of())
         .forEach(reading -> this.workerClocks.put(reading.workerId(), reading));
   }
 
+  /** Returns whether it is of a release that names workers' clocks, whose claims don't confirm. */
+  boolean namesWorkerClocks() {
+    return namesWorkerClocks;
+  }
+
   /** Returns when it was sent. */
   public OwnerTime time() {
     return time;
@@ -71,7 +76,9 @@
    * it; empty if that is not known.
    */
   OptionalLong latestMs() {
-    return claimsConfirm ? clocks.latestConfirmationMs(time) : clocks.latestOwnConfirmationMs(time);
+    return namesWorkerClocks
+        ? clocks.latestOwnConfirmationMs(time)
+        : clocks.latestConfirmationMs(time);
   }
 
   /**
--- a/src/main/java/org/plantainloom/coordination/dispatch/OwnershipLease.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/OwnershipLease.java
@@ -33,6 +33,9 @@
    */
   static final long ACTING_MS = 4 * CONFIRM_INTERVAL_MS;
 
+  /** How long an owner acts whose confirmations name no clocks of workers. */
+  private static final long OLDER_RELEASE_ACTING_MS = 2_000;
+
   /** Before any time, yet far enough from the smallest number to be calculated with. */
   private static final long NEVER_MS = Long.MIN_VALUE / 2;
 
@@ -97,8 +100,13 @@
     return neededAfterMs >= lastSentMs;
   }
 
-  /** Returns how long a previous owner may have acted after it was replaced, at most. */
+  /** Returns how long a previous owner may have acted after its last confirmation, at most. */
   static long longestActingMs() {
     return ClockDrift.longestMs(ACTING_MS);
   }
+
+  /** Returns the same for an owner of any release that is still in use. */
+  static long longestActingOfAnyReleaseMs() {
+    return ClockDrift.longestMs(OLDER_RELEASE_ACTING_MS);
+  }
 }
--- a/src/main/java/org/plantainloom/coordination/dispatch/Takeover.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/Takeover.java
@@ -46,6 +46,9 @@
   private StopEvidence evidence = StopEvidence.TAKEOVER;
   private boolean previousOwnersKnown;
 
+  /** How long the last owner that was confirmed may have acted after that. */
+  private long previousOwnerActsMs;
+
   /** When the previous owners could not act any more, by their last confirmation, if known. */
   private OptionalLong unconfirmedSinceMs = OptionalLong.empty();
 
@@ -64,6 +67,7 @@
     this.workers = workers;
     this.log = log;
     this.ownedSinceMs = nowMs;
+    this.previousOwnerActsMs = policy.olderReleaseActsMs();
     this.leasesEndMs = nowMs + policy.takeoverTimeoutMs();
     this.loggedMs = nowMs;
   }
@@ -71,7 +75,15 @@
   /** Handles that the previous owners are known, and give no longer leases than this one. */
   void previousOwnersKnown() {
     previousOwnersKnown = true;
-    stoppedAt(ownedSinceMs + policy.previousOwnerActsMs(), StopEvidence.REPLACED);
+    stoppedAt(ownedSinceMs + previousOwnerActsMs, StopEvidence.REPLACED);
+  }
+
+  /** Handles that the last owner that was confirmed is of a release that acts as long as this. */
+  void previousOwnerIsOfThisRelease() {
+    previousOwnerActsMs = policy.previousOwnerActsMs();
+    if (evidence == StopEvidence.REPLACED) {
+      stoppedAt(ownedSinceMs + previousOwnerActsMs, StopEvidence.REPLACED);
+    }
   }
 
   /**
@@ -79,7 +91,7 @@
    * may tell an earlier time. It was before the takeover in any case.
    */
   void previousOwnersConfirmed(long confirmedMs) {
-    long unconfirmedMs = confirmedMs + policy.previousOwnerActsMs();
+    long unconfirmedMs = confirmedMs + previousOwnerActsMs;
     if (previousOwnersKnown
         && confirmedMs < ownedSinceMs
         && unconfirmedMs <= unconfirmedSinceMs.orElse(Long.MAX_VALUE) - MIN_GAIN_MS) {
--- a/src/main/java/org/plantainloom/coordination/dispatch/WorkerClocks.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/WorkerClocks.java
@@ -15,9 +15,9 @@
 final class WorkerClocks {
   /**
    * Readings that a confirmation names of each availability zone. One worker that is still up and
-   * reachable is enough for the next owner.
+   * reachable is enough for the next owner; more would make each confirmation dear in large fleets.
    */
-  private static final int READINGS_PER_ZONE = 6;
+  private static final int READINGS_PER_ZONE = 16;
 
   private final ElapsedTime elapsed;
   private final WorkerTable workers;
@@ -33,6 +33,9 @@
   /** Handles the last confirmation of the owner before. */
   void previousOwnerConfirmed(LastConfirmation confirmation) {
     lastConfirmation = Optional.of(confirmation);
+    if (confirmation.namesWorkerClocks()) {
+      takeover.previousOwnerIsOfThisRelease();
+    }
     confirmation.latestMs().ifPresent(takeover::previousOwnersConfirmed);
   }
 
