Replace a reading of a worker's clock that a newer answer contradicts

Cause: the bound of a worker's clock is kept while it is lower than what newer answers tell. If this process has missed time, as its VM was suspended and its wall clock set back in one step, that bound is too low, and would have won for a minute: confirmations would have been dated too early, and a successor would not have waited long enough.

Change: an answer later than the bound replaces it.

Evidence: SuccessionBoundsTest.should_drop_a_reading_that_a_newer_answer_contradicts, which failed before.

--- a/src/main/java/org/plantainloom/coordination/dispatch/LatestWorkerClock.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/LatestWorkerClock.java
@@ -25,7 +25,10 @@
    * @param nowMs the present {@link ElapsedTime}
    */
   void answered(long newClockMs, long newSentMs, long nowMs) {
-    if (!known || latestMs(newClockMs, newSentMs, nowMs) < latestMs(clockMs, sentMs, nowMs)) {
+    boolean tellsMore =
+        !known || latestMs(newClockMs, newSentMs, nowMs) < latestMs(clockMs, sentMs, nowMs);
+    // Time is missing here if the clock is later than it can be.
+    if (tellsMore || newClockMs > latestMs(clockMs, sentMs, nowMs)) {
       known = true;
       clockMs = newClockMs;
       sentMs = newSentMs;
