--- a/src/main/java/org/plantainloom/program/node/NodeProcess.java
+++ b/src/main/java/org/plantainloom/program/node/NodeProcess.java
@@ -145,15 +145,13 @@
   }
 
   /**
-   * Starts a node that shuts down on SIGTERM or SIGINT and logs SIGHUP.
+   * Starts a node that shuts down on SIGTERM or SIGINT.
    *
    * @param startedMs when the process started, on the monotonic clock
    */
   static ExitCode run(NodeSettings settings, long startedMs) {
     NodeProcess process = new NodeProcess(settings, startedMs);
     ShutdownHook.register(process::stop);
-    HangupSignal.onSignal(
-        () -> LOG.infof("event=reloaded node=%s changed=nothing", settings.name()));
     return ExitCode.OK;
   }
 
