--- a/src/main/java/org/plantainloom/transport/dispatch/OwnerClockSampler.java
+++ b/src/main/java/org/plantainloom/transport/dispatch/OwnerClockSampler.java
@@ -10,7 +10,7 @@
  */
 final class OwnerClockSampler {
   /**
-   * Not a divisor of the interval between two confirmations, so that some are read soon after they
+   * No multiple of the interval between two confirmations, so that some are read soon after they
    * were written.
    */
   private static final long INTERVAL_MS = 400;
--- a/src/main/java/org/plantainloom/transport/dispatch/Predecessors.java
+++ b/src/main/java/org/plantainloom/transport/dispatch/Predecessors.java
@@ -12,7 +12,7 @@
  *
  * @param term the term of the last owner; empty if there was none
  * @param unsettledOwners the owners whose leases may still be valid
- * @param confirmation when the last owner sent its last confirmation
+ * @param confirmation the last confirmation of an owner before; those since have not acted
  */
 record Predecessors(
     Optional<StoreItem> term,
