Name the list with which an owner begins, and split what had grown

InheritedWorkers.firstList changed what it returned and took its own owner; Dispatcher.firstFleet does now, and says so. Renewals of all workers stand once, the listener of the ownership in a file of its own.

--- a/src/main/java/org/plantainloom/coordination/dispatch/Dispatcher.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/Dispatcher.java
@@ -219,8 +219,12 @@
     return workers.unpersisted(takeover::leaseEndMs);
   }
 
-  /** Returns the workers that the next owner has to poll. */
-  List<FleetMember> fleet() {
+  /**
+   * Returns the list of workers with which this owner begins to act: inherited workers that have
+   * not answered yet are silent from now on, until a later list says otherwise.
+   */
+  public List<FleetMember> firstFleet() {
+    workers.markUnansweredSilent();
     return workers.members(takeover::leaseEndMs);
   }
 
--- a/src/main/java/org/plantainloom/coordination/dispatch/InheritedWorkers.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/InheritedWorkers.java
@@ -81,10 +81,7 @@
    * renewed before the new owner has read the accepted jobs.
    */
   public List<DispatchCommand.Renewal> renewals(long nowMs, long wallMs) {
-    return workers.all().stream()
-        .map(worker -> polls.renewalIfOwner(worker, nowMs, wallMs))
-        .flatMap(Optional::stream)
-        .toList();
+    return polls.renewals(workers.all(), nowMs, wallMs);
   }
 
   /**
@@ -94,10 +91,4 @@
   public boolean isListReady(long nowMs) {
     return read && (workers.haveInheritedOnesReplied() || nowMs - readSinceMs >= FIRST_ANSWERS_MS);
   }
-
-  /** Returns the list of workers with which this owner begins to act. */
-  public List<FleetMember> firstList(Dispatcher dispatcher) {
-    workers.markUnansweredSilent();
-    return dispatcher.fleet();
-  }
 }
--- a/src/main/java/org/plantainloom/coordination/dispatch/WorkerPolls.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/WorkerPolls.java
@@ -1,6 +1,5 @@
 package org.plantainloom.coordination.dispatch;
 
-import java.util.ArrayList;
 import java.util.Collection;
 import java.util.List;
 import java.util.Optional;
@@ -80,11 +79,15 @@
     boolean due = remainingMs > 0 && (!acting || (ends && !ending));
     acting = remainingMs > 0;
     ending = ends;
-    List<DispatchCommand> renewals = new ArrayList<>();
-    if (due) {
-      workers.forEach(worker -> renewalIfOwner(worker, nowMs, wallMs).ifPresent(renewals::add));
-    }
-    return renewals;
+    return due ? List.copyOf(renewals(workers, nowMs, wallMs)) : List.of();
+  }
+
+  /** Returns renewals for all workers whose leases this process may renew now. */
+  List<DispatchCommand.Renewal> renewals(Collection<WorkerState> workers, long nowMs, long wallMs) {
+    return workers.stream()
+        .map(worker -> renewalIfOwner(worker, nowMs, wallMs))
+        .flatMap(Optional::stream)
+        .toList();
   }
 
   /**
--- a/src/main/java/org/plantainloom/transport/dispatch/Node.java
+++ b/src/main/java/org/plantainloom/transport/dispatch/Node.java
@@ -74,7 +74,7 @@
     return new Node(context);
   }
 
-  private final class SessionManager implements OwnerElection.OwnershipListener {
+  private final class SessionManager implements OwnershipListener {
     private final NodeContext context;
 
     SessionManager(NodeContext context) {
--- a/src/main/java/org/plantainloom/transport/dispatch/OwnerElection.java
+++ b/src/main/java/org/plantainloom/transport/dispatch/OwnerElection.java
@@ -72,17 +72,6 @@
   /** Revision of the last unreadable term that was logged, as a claim may be repeated often. */
   private long reportedTermRevision;
 
-  /** Receives changes of this node's ownership, on the event loop. */
-  interface OwnershipListener {
-    /**
-     * Called when this node has become the owner. It may act once its first confirmation is stored.
-     */
-    void onGained(Ownership ownership, OwnershipConfirmations confirmations);
-
-    /** Called when this node is no longer the owner. */
-    void onLost(String reason);
-  }
-
   OwnerElection(
       NodeContext node,
       EventLoop eventLoop,
--- a/src/main/java/org/plantainloom/transport/dispatch/OwnershipConfirmations.java
+++ b/src/main/java/org/plantainloom/transport/dispatch/OwnershipConfirmations.java
@@ -101,14 +101,6 @@
     confirm(sent);
   }
 
-  /**
-   * Handles a conflict of the transaction with the first confirmation. An earlier attempt may have
-   * been carried out although its reply was lost.
-   */
-  void firstConflicted(List<StoreItem> current) {
-    onConflict(current);
-  }
-
   /** Sends the next confirmation if it is due. */
   void tick(long nowMs, long wallMs) {
     if (!begun) {
@@ -160,7 +152,11 @@
     clocks.sampled(sent, sent.monotonicMs());
   }
 
-  private void onConflict(List<StoreItem> current) {
+  /**
+   * Handles a conflict of a transaction with a confirmation, also the first one: an earlier attempt
+   * may have been carried out although its reply was lost.
+   */
+  void onConflict(List<StoreItem> current) {
     Optional<StoreItem> ownerKey = find(current, StoreKeys.OWNER);
     if (ownerKey.isEmpty() || ownerKey.get().revision() != ownership.revision()) {
       keyChangedListener.accept(ownerKey);
--- a/src/main/java/org/plantainloom/transport/dispatch/ProgressWriter.java
+++ b/src/main/java/org/plantainloom/transport/dispatch/ProgressWriter.java
@@ -117,7 +117,7 @@
     if (confirmations.hasBegun()) {
       dispatcher.unpersistedFleet().ifPresent(this::persistFleet);
     } else if (dispatcher.inheritedWorkers().isListReady(NodeContext.nowMs())) {
-      persistFirstList(dispatcher.inheritedWorkers().firstList(dispatcher));
+      persistFirstList(dispatcher.firstFleet());
     }
   }
 
@@ -133,7 +133,7 @@
         },
         current -> {
           fleetRevision = revisionOf(StoreKeys.FLEET, current);
-          confirmations.firstConflicted(current);
+          confirmations.onConflict(current);
           if (confirmations.hasBegun()) {
             listListener.onStored();
           }
--- a/src/test/java/org/plantainloom/coordination/dispatch/DispatcherSimulation.java
+++ b/src/test/java/org/plantainloom/coordination/dispatch/DispatcherSimulation.java
@@ -259,7 +259,7 @@
   void begin() {
     if (dispatcher.inheritedWorkers().isListReady(nowMs)) {
       begun = true;
-      store(dispatcher.inheritedWorkers().firstList(dispatcher));
+      store(dispatcher.firstFleet());
       confirm();
     }
   }
--- a/src/test/java/org/plantainloom/coordination/dispatch/HandoverOwner.java
+++ b/src/test/java/org/plantainloom/coordination/dispatch/HandoverOwner.java
@@ -190,7 +190,7 @@
       return;
     }
     triedToBegin = true;
-    List<FleetMember> fleet = dispatcher.inheritedWorkers().firstList(dispatcher);
+    List<FleetMember> fleet = dispatcher.firstFleet();
     boolean incomplete = dispatcher.isFleetIncomplete();
     HandoverStore.Confirmation sent = confirmation();
     List<HandoverStore.Change> changes =
