Read a worker's clock at most once in three seconds

What callers saw: not shown.

An owner short of processor time would have polled all workers without pause, and become slower by that.

Change: the next such poll is due three seconds later in any case.

Evidence: LatestWorkerClockTest.should_not_repeat_a_poll_that_does_not_wait_if_its_answer_told_nothing.

--- a/src/main/java/org/plantainloom/coordination/dispatch/LatestWorkerClock.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/LatestWorkerClock.java
@@ -16,6 +16,7 @@
   private boolean known;
   private long clockMs;
   private long sentMs;
+  private long lastRefreshMs;
 
   /**
    * Handles an answer.
@@ -45,9 +46,16 @@
     return nowMs - sentMs;
   }
 
-  /** Returns whether an answer to a poll that does not wait would tell more. */
-  boolean isOutdated(long nowMs) {
-    return !known || nowMs - sentMs > REFRESH_MS;
+  /**
+   * Returns whether a poll should not wait, as its answer may tell more. The next such poll is due
+   * some time later, also if the answer takes so long that it tells nothing.
+   */
+  boolean beginRefreshIfDue(long nowMs) {
+    boolean due = !known || (nowMs - sentMs > REFRESH_MS && nowMs - lastRefreshMs > REFRESH_MS);
+    if (due) {
+      lastRefreshMs = nowMs;
+    }
+    return due;
   }
 
   private static long latestMs(long clockMs, long sentMs, long nowMs) {
--- a/src/main/java/org/plantainloom/coordination/dispatch/WorkerPolls.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/WorkerPolls.java
@@ -54,7 +54,7 @@
       // A worker whose tail latency is controlled measures it from one poll to the next.
       boolean readsClock =
           !TailLatencyController.appliesTo(worker)
-              && worker.life().latestClock().isOutdated(elapsed.ms());
+              && worker.life().latestClock().beginRefreshIfDue(elapsed.ms());
       long waitMs = awaitsWrite || readsClock ? 0 : waitMs(worker);
       return Optional.of(
           mayRenew(worker, nowMs, wallMs)
--- a/src/test/java/org/plantainloom/coordination/dispatch/LatestWorkerClockTest.java
+++ b/src/test/java/org/plantainloom/coordination/dispatch/LatestWorkerClockTest.java
@@ -36,10 +36,24 @@
   @Test
   public void should_ask_for_a_poll_that_does_not_wait_from_time_to_time() {
     LatestWorkerClock clock = new LatestWorkerClock();
-    assertThat(clock.isOutdated(0)).isTrue();
+    assertThat(clock.beginRefreshIfDue(0)).isTrue();
     clock.answered(9_000, 1_000, 1_010);
-    assertThat(clock.isOutdated(1_010)).isFalse();
-    assertThat(clock.isOutdated(10_000)).isTrue();
+    assertThat(clock.beginRefreshIfDue(1_010)).isFalse();
+    assertThat(clock.beginRefreshIfDue(10_000)).isTrue();
+  }
+
+  /** Regression: polls without a wait followed one another while answers took long. */
+  @Test
+  public void should_not_repeat_a_poll_that_does_not_wait_if_its_answer_told_nothing() {
+    // given
+    LatestWorkerClock clock = new LatestWorkerClock();
+    clock.answered(9_000, 1_000, 1_010);
+    assertThat(clock.beginRefreshIfDue(4_100)).isTrue();
+    // when: the answer takes 300 ms
+    clock.answered(12_300, 4_100, 4_400);
+    // then
+    assertThat(clock.beginRefreshIfDue(4_400)).isFalse();
+    assertThat(clock.beginRefreshIfDue(7_200)).isTrue();
   }
 
   @Test
