review: case 8, a bad release of one image closes all workers

Shown with review/8/run.sh: 16 lasting jobs whose runs fail 50 ms after each start have all workers suspended; other jobs do not run although the workers are idle.

--- /dev/null
+++ b/review/8/run.sh
@@ -0,0 +1,6 @@
+#!/usr/bin/env bash
+# Exits with 1 if LOST was broken, 0 if it held, 2 if the case could not run. TROUBLE=0: the lasting tasks do not fail.
+# JOBS: number of lasting jobs, 16 by default.
+cd "$(dirname "$0")/../.." || exit 2
+exec java -Xmx1g -Djdk.httpclient.allowRestrictedHeaders=host -cp "target/review-2:target/dist/lib/*" \
+  CrashLoop "$PWD" review/8/record.txt
