Soak configurations beside disruptions, and list the fault that this finds

The soak adds, drops and re-targets queues while connections fall silent, paths freeze, processes are suspended, capped, killed or stopped, history is lost and the store turns nodes away.

--- a/src/main/java/org/plantainloom/platform/standin/SimulatedPlatform.java
+++ b/src/main/java/org/plantainloom/platform/standin/SimulatedPlatform.java
@@ -11,11 +11,14 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.UnaryOperator;
+import java.util.stream.Collectors;
 
 /**
  * Simulates the users' platform on loopback: a store and workers that follow its protocol.
@@ -54,6 +57,7 @@
   private final List<SimulatedWorker> workers = new ArrayList<>();
   private final List<Registration> registrations = new ArrayList<>();
   private final List<Server> servers = new ArrayList<>();
+  private final Map<String, String> servicesByWorker = new ConcurrentHashMap<>();
 
   /** The entry of a worker in the store, which expires when the worker no longer renews it. */
   private final class Registration {
@@ -184,7 +188,9 @@
   private void register(SimulatedWorker worker, String address) {
     store.put(
         key(worker),
-        "{\"service\":\"service\",\"address\":\""
+        "{\"service\":\""
+            + servicesByWorker.getOrDefault(worker.id(), SimulatedQueue.FIRST.service())
+            + "\",\"address\":\""
             + address
             + "\",\"zone\":\""
             + worker.zone()
@@ -199,20 +205,27 @@
 
   /** Writes a configuration with one queue to the store. */
   public void configure(int version) {
+    configure(version, List.of(SimulatedQueue.FIRST));
+  }
+
+  /** Writes a configuration to the store, which has acknowledged it on return. */
+  public void configure(int version, List<SimulatedQueue> queues) {
+    String routes = queues.stream().map(SimulatedQueue::route).collect(Collectors.joining(","));
+    String services =
+        queues.stream()
+            .map(SimulatedQueue::service)
+            .distinct()
+            .map(service -> "{\"name\":\"" + service + "\",\"preconditions\":false}")
+            .collect(Collectors.joining(","));
     store.put(
         "op/config",
         "{\"version\":"
             + version
-            + ",\"routes\":[{\"name\":\""
-            + QUEUE_NAME
-            + "\",\"host\":\""
-            + QUEUE_HOST
-            + "\",\"prefix\":\""
-            + JOB_PATH_PREFIX
-            + "\",\"timeout-ms\":3000,\"target-duration-ms\":300,\"priority\":0,"
-            + "\"service\":\"service\",\"max-attempts\":3,\"stretch-factor\":1.5}],"
-            + "\"services\":[{\"name\":\"service\",\"preconditions\":false}],"
-            + "\"limits\":{\"max-body-bytes\":20000}}");
+            + ",\"routes\":["
+            + routes
+            + "],\"services\":["
+            + services
+            + "],\"limits\":{\"max-body-bytes\":20000}}");
   }
 
   /** Writes an entry as another writer may: below the workers' prefix, with any text. */
@@ -253,6 +266,11 @@
     store.dropHistory();
   }
 
+  /** Assigns a worker to a service from its next registration on. */
+  public void assignWorker(int worker, String service) {
+    servicesByWorker.put(workers.get(worker).id(), service);
+  }
+
   /** Makes the tasks that end on a worker fail, or makes them complete again. */
   public void setWorkerFailing(int worker, boolean failing) {
     workers.get(worker).setFailing(failing);
--- a/src/test/java/org/plantainloom/soak/FaultInjector.java
+++ b/src/test/java/org/plantainloom/soak/FaultInjector.java
@@ -3,6 +3,7 @@
 import java.util.HashSet;
 import java.util.Random;
 import java.util.Set;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.BiConsumer;
 import java.util.function.ObjIntConsumer;
 import org.plantainloom.platform.standin.SimulatedPlatform;
@@ -79,6 +80,84 @@
         () -> network.storeProxy(node).removeFault(FaultProxy.Mode.DROP_ALL));
   }
 
+  /** Leaves all open connections between nodes, to the store and to workers silent for good. */
+  void silenceOpenConnections() throws Exception {
+    faults.strike(
+        "all open connections fall silent",
+        // As a reset of the connections of all nodes.
+        FaultScope.ofStore(),
+        () -> {
+          for (int node = 0; node < network.nodes().size(); node++) {
+            network.storeProxy(node).blackholeConnections();
+            for (int worker = 0; worker < network.workers(); worker++) {
+              network.workerProxy(node, worker).blackholeConnections();
+            }
+            for (int other = 0; other < network.nodes().size(); other++) {
+              network.controlProxy(node, other).blackholeConnections();
+            }
+          }
+        });
+  }
+
+  /** Leaves the open connections of all nodes to the store silent for good. */
+  void silenceOpenStoreConnections() throws Exception {
+    faults.strike(
+        "all open connections to the store fall silent",
+        FaultScope.ofStore(),
+        () -> {
+          for (int node = 0; node < network.nodes().size(); node++) {
+            network.storeProxy(node).blackholeConnections();
+          }
+        });
+  }
+
+  /** Leaves the open connections of a node to the store silent for good. */
+  void silenceOpenStoreConnections(int node) throws Exception {
+    faults.strike(
+        "the open connections of node-" + node + " to the store fall silent",
+        FaultScope.ofNode(node),
+        () -> network.storeProxy(node).blackholeConnections());
+  }
+
+  /** Holds back what is on its way between a node and the store. */
+  void freezeStorePath(int node, Range durationMs) throws Exception {
+    start(
+        "path of node-" + node + " to the store frozen",
+        FaultScope.ofNode(node),
+        durationMs,
+        () -> network.storeProxy(node).addFault(FaultProxy.Mode.HOLD_ALL),
+        () -> network.storeProxy(node).removeFault(FaultProxy.Mode.HOLD_ALL));
+  }
+
+  /** Lets watches hear nothing for a time, and drops the history then. */
+  void compactSilently(Range durationMs) throws Exception {
+    start(
+        "compaction",
+        FaultScope.ofStore(),
+        durationMs,
+        () -> forEachView((view, node) -> view.setWatchesSilent(true)),
+        () -> {
+          platform().dropHistory();
+          forEachView((view, node) -> view.setWatchesSilent(false));
+        });
+  }
+
+  /** Lets a process run for a part of each tenth of a second only, which is no disruption. */
+  void capUsage(int node, int percent, Range durationMs) throws Exception {
+    if (!lostNodes.contains(node)) {
+      AtomicReference<UsageCap> cap = new AtomicReference<>();
+      start(
+          "process node-" + node,
+          FaultScope.ofOthers(),
+          durationMs,
+          () -> {
+            faults.record("node-" + node + " is capped at " + percent + "%");
+            cap.set(UsageCap.start(node(node), percent));
+          },
+          () -> cap.get().close());
+    }
+  }
+
   void rejectAtStore(int node, Range durationMs) throws Exception {
     start(
         "store rejects node-" + node,
--- a/src/test/java/org/plantainloom/soak/HttpChannel.java
+++ b/src/test/java/org/plantainloom/soak/HttpChannel.java
@@ -50,11 +50,19 @@
     return open;
   }
 
-  /** Sends a request and waits for its response, the end of the connection or the deadline. */
+  /** Sends a request to the first queue, see {@link #send(String, String, String, String)}. */
   Exchange send(String method, String jobId, String body) {
+    return send(SimulatedPlatform.JOB_PATH_PREFIX, method, jobId, body);
+  }
+
+  /**
+   * Sends a request to the queue with a prefix, and waits for its response, the end of the
+   * connection or the deadline.
+   */
+  Exchange send(String pathPrefix, String method, String jobId, String body) {
     long sentMs = SoakRun.nowMs();
     try {
-      socket.getOutputStream().write(request(method, jobId, body));
+      socket.getOutputStream().write(request(pathPrefix, method, jobId, body));
     } catch (IOException e) {
       close();
       return ended(method, jobId, sentMs, Exchange.End.NOT_SENT);
@@ -87,12 +95,12 @@
     return new Exchange(node, method, jobId, sentMs, SoakRun.nowMs(), end, 0, "");
   }
 
-  private static byte[] request(String method, String jobId, String body) {
+  private static byte[] request(String pathPrefix, String method, String jobId, String body) {
     byte[] content = body.getBytes(StandardCharsets.UTF_8);
     String head =
         method
             + " "
-            + SimulatedPlatform.JOB_PATH_PREFIX
+            + pathPrefix
             + jobId
             + " HTTP/1.1\r\nHost: "
             + SimulatedPlatform.QUEUE_HOST
--- a/src/test/java/org/plantainloom/soak/SoakNode.java
+++ b/src/test/java/org/plantainloom/soak/SoakNode.java
@@ -9,6 +9,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 
 /** A {@code plantainloom-node} in its own process, which can be killed, stopped and suspended. */
 final class SoakNode implements AutoCloseable {
@@ -30,6 +31,7 @@
   private final File logFile;
   private Process process;
   private boolean endedByTest;
+  private final AtomicInteger lives = new AtomicInteger();
 
   SoakNode(String name, Path directory, int storePort) throws IOException {
     this.name = name;
@@ -61,6 +63,12 @@
             .redirectOutput(ProcessBuilder.Redirect.appendTo(logFile))
             .start();
     endedByTest = false;
+    lives.incrementAndGet();
+  }
+
+  /** Returns how often the process was started. */
+  int life() {
+    return lives.get();
   }
 
   /** Returns the class path of the nodes, with the classes of another release first on request. */
@@ -122,7 +130,9 @@
   }
 
   private void signal(String signal) throws IOException, InterruptedException {
-    new ProcessBuilder("kill", signal, Long.toString(process.pid())).start().waitFor();
+    if (process.isAlive()) {
+      new ProcessBuilder("kill", signal, Long.toString(process.pid())).start().waitFor();
+    }
   }
 
   @Override
--- a/src/test/java/org/plantainloom/soak/SoakTest.java
+++ b/src/test/java/org/plantainloom/soak/SoakTest.java
@@ -23,6 +23,7 @@
  * mvn -B test -Dtest='SoakTest*' -Dplantainloom.soak.lasting.first=1000 -Dplantainloom.soak.lasting.seeds=50
  * mvn -B test -Dtest='SoakTest*' -Dplantainloom.soak.series.first=1000 -Dplantainloom.soak.series.seeds=50
  * mvn -B test -Dtest='SoakTest*' -Dplantainloom.soak.planned.first=1000 -Dplantainloom.soak.planned.seeds=50
+ * mvn -B test -Dtest='SoakTest*' -Dplantainloom.soak.config.first=1000 -Dplantainloom.soak.config.seeds=50
  * }</pre>
  */
 public class SoakTest {
@@ -73,6 +74,9 @@
   /** Seeds of runs with planned work alone. */
   private static final List<Long> PLANNED_SEEDS = List.of(1L);
 
+  /** Seeds of runs in which configurations change beside disruptions. */
+  private static final List<Long> CONFIG_SEEDS = List.of(1L);
+
   private static final long PARTITION_FAULTS_MS =
       Long.getLong("plantainloom.soak.partition.faults-ms", 35_000);
 
@@ -109,6 +113,37 @@
     assertHeld(runAll(LossProfile.SERIES, SERIES_SEEDS));
   }
 
+  @Test(groups = "known-red")
+  public void should_answer_by_configurations_that_are_in_force() throws Exception {
+    ConfigDisruption only =
+        ConfigDisruption.valueOf(System.getProperty("plantainloom.soak.config.only", "ANY"));
+    assertHeld(
+        runAll(seeds(CONFIG_SEEDS, "plantainloom.soak.config"), seed -> runConfigSeed(only, seed)));
+  }
+
+  @Test(groups = "known-red")
+  public void should_serve_a_new_queue_in_time_after_all_open_connections_fell_silent()
+      throws Exception {
+    assertHeld(
+        runAll(List.of(1L), seed -> runConfigSeed(ConfigDisruption.SILENT_CONNECTIONS, seed)));
+  }
+
+  private static List<String> runConfigSeed(ConfigDisruption only, long seed) throws Exception {
+    try (ConfigSoakRun run = ConfigSoakRun.start(seed, only)) {
+      List<String> violations = run.execute();
+      System.out.println(
+          "config soak "
+              + only.label()
+              + " seed="
+              + seed
+              + " "
+              + run.summary()
+              + " broken="
+              + violations);
+      return violations;
+    }
+  }
+
   private static Map<Long, List<String>> runAll(LossProfile profile, List<Long> seeds)
       throws Exception {
     return runAll(
