--- a/src/main/java/org/plantainloom/coordination/dispatch/JobsFreshness.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/JobsFreshness.java
@@ -19,10 +19,8 @@
   static final long MAX_AGE_MS = 1_300;
 
   private final DecisionLog log;
-  private boolean known;
   private boolean starting = true;
-  private long asOfMs;
-  private long asOfWallMs;
+  private KnownAsOf knownAsOf = KnownAsOf.NEVER;
 
   JobsFreshness(DecisionLog log) {
     this.log = log;
@@ -35,16 +33,12 @@
    * @param sentWallMs the same on the wall clock
    */
   void confirm(long sentMs, long sentWallMs) {
-    if (!known || sentMs > asOfMs) {
-      known = true;
-      asOfMs = sentMs;
-      asOfWallMs = sentWallMs;
-    }
+    knownAsOf = knownAsOf.latest(new KnownAsOf(sentMs, sentWallMs));
   }
 
   /** Returns whether all is known that the store acknowledged before a time. */
   boolean isKnownAsOf(long ms) {
-    return known && asOfMs > ms;
+    return knownAsOf.ms() > ms;
   }
 
   /** Returns whether what is known is recent enough to start tasks, and logs when that changes. */
@@ -61,11 +55,8 @@
     return fresh;
   }
 
-  /**
-   * Returns the age of what is known. The monotonic clock stands still while a VM is suspended, and
-   * the wall clock may be set back, so the longer one counts.
-   */
+  /** Returns the age of what is known. */
   long ageMs(long nowMs, long wallMs) {
-    return known ? Math.max(nowMs - asOfMs, wallMs - asOfWallMs) : Long.MAX_VALUE;
+    return knownAsOf.ageMs(nowMs, wallMs);
   }
 }
--- a/src/main/java/org/plantainloom/platform/JobHttpService.java
+++ b/src/main/java/org/plantainloom/platform/JobHttpService.java
@@ -53,7 +53,8 @@
     Optional<QueueConfig> queue = config.route(host, request.path());
     if (queue.isEmpty()) {
       LOG.infof(
-          "event=no-queue host=%s path=%s version=%d", host, request.path(), config.version());
+          "event=no-queue host=%s path=%s version=%d knownMsAgo=%d",
+          host, request.path(), config.version(), node.configAgeMs());
       return respond(HttpStatus.NOT_FOUND, "");
     }
     String jobId = request.path().substring(queue.get().pathPrefix().length());
--- a/src/main/java/org/plantainloom/transport/dispatch/ClusterView.java
+++ b/src/main/java/org/plantainloom/transport/dispatch/ClusterView.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.Set;
 import org.jboss.logging.Logger;
+import org.plantainloom.coordination.dispatch.KnownAsOf;
 import org.plantainloom.state.job.ClusterCodec;
 import org.plantainloom.state.job.ClusterConfig;
 import org.plantainloom.state.store.StoreEvent;
@@ -21,6 +22,7 @@
   private final Runnable changeListener;
   private volatile ClusterConfig config = ClusterConfig.UNKNOWN;
   private volatile Set<String> withdrawnZones = Set.of();
+  private volatile KnownAsOf knownAsOf = KnownAsOf.NEVER;
 
   ClusterView(ClusterCodec codec, Runnable changeListener) {
     this.codec = codec;
@@ -35,6 +37,16 @@
     return withdrawnZones;
   }
 
+  /** Returns how long ago all was known that operators had written by then, in milliseconds. */
+  long ageMs() {
+    return knownAsOf.ageMs(NodeContext.nowMs(), NodeContext.wallMs());
+  }
+
+  @Override
+  public void onComplete(long sentMs, long sentWallMs) {
+    knownAsOf = knownAsOf.latest(new KnownAsOf(sentMs, sentWallMs));
+  }
+
   @Override
   public void onSnapshot(List<StoreItem> items) {
     Set<String> zones = new HashSet<>();
@@ -69,8 +81,11 @@
   private void applyConfig(ClusterConfig newConfig) {
     if (newConfig.version() > config.version()) {
       LOG.infof(
-          "event=config-applied version=%d before=%d queues=%d",
-          newConfig.version(), config.version(), newConfig.queues().size());
+          "event=config-applied version=%d before=%d queues=%d knownMsAgo=%s",
+          newConfig.version(),
+          config.version(),
+          newConfig.queues().size(),
+          knownAsOf.equals(KnownAsOf.NEVER) ? "never" : ageMs());
       config = newConfig;
     }
   }
--- a/src/main/java/org/plantainloom/transport/dispatch/Node.java
+++ b/src/main/java/org/plantainloom/transport/dispatch/Node.java
@@ -1,5 +1,6 @@
 package org.plantainloom.transport.dispatch;
 
+import com.codahale.metrics.MetricRegistry;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -50,6 +51,7 @@
     this.eventLoop = EventLoop.start("node", TICK_MS, () -> onTick.ifPresent(Runnable::run));
     this.cluster = new ClusterView(context.codec(), this::clusterChanged);
     this.jobs = new JobRegistry(context.store(), context.metrics());
+    registerGauges(context.metrics());
     this.election =
         new OwnerElection(context, eventLoop, this::schedule, new SessionManager(context));
     eventLoop.execute(
@@ -69,6 +71,13 @@
         });
   }
 
+  private void registerGauges(MetricRegistry metrics) {
+    metrics.gauge("config.version", () -> () -> cluster.config().version());
+    metrics.gauge("config.age-ms", () -> cluster::ageMs);
+    metrics.gauge("loop.node.busy-ms", () -> eventLoop::busyMs);
+    metrics.gauge("loop.node.longest-task-ms", () -> eventLoop::longestTaskMs);
+  }
+
   /** Starts a node with its own event loop. */
   public static Node start(NodeContext context) {
     return new Node(context);
@@ -146,6 +155,11 @@
     return cluster.config();
   }
 
+  /** Returns how long ago the configuration was known to be the newest one, in milliseconds. */
+  public long configAgeMs() {
+    return cluster.ageMs();
+  }
+
   /** Returns whether this node can serve callers, who should go to another node otherwise. */
   public boolean isReady() {
     return config().isKnown() && !jobs.isStoreUnavailable();
--- a/src/main/java/org/plantainloom/transport/dispatch/PrefixWatch.java
+++ b/src/main/java/org/plantainloom/transport/dispatch/PrefixWatch.java
@@ -81,6 +81,8 @@
   private long firstValidCall = 1;
 
   private boolean disconnected;
+  private long disconnectedMs;
+  private int failedCalls;
   private boolean closed;
 
   /** Receives the keys and their changes, on the event loop. */
@@ -176,13 +178,13 @@
             return;
           }
           if (result instanceof ReadReply.Found found) {
-            onReply();
+            onReply(found.revision() > position);
             handle(prefix, () -> listener.onSnapshot(found.items()));
             listener.onComplete(sentMs, sentWallMs);
             position = found.revision();
             poll();
           } else if (result instanceof ReadReply.Unavailable unavailable) {
-            onFailure(unavailable.reason());
+            onFailure(unavailable.reason(), sentMs);
             scheduleRetry(this::list);
           }
         });
@@ -209,7 +211,7 @@
             return;
           }
           if (result instanceof WatchReply.Changes changes) {
-            onReply();
+            onReply(!changes.events().isEmpty());
             lastAnsweredCall = Math.max(lastAnsweredCall, call);
             apply(changes);
             listener.onComplete(sentMs, sentWallMs);
@@ -219,7 +221,7 @@
             list();
           } else if (result instanceof WatchReply.Unavailable unavailable) {
             if (call > lastAnsweredCall) {
-              onFailure(unavailable.reason());
+              onFailure(unavailable.reason(), sentMs);
               scheduleRetry(() -> repeatIfUnanswered(call));
             }
           }
@@ -283,18 +285,30 @@
     }
   }
 
-  private void onReply() {
+  /**
+   * Handles a reply.
+   *
+   * @param changed whether it has told something that was not known
+   */
+  private void onReply(boolean changed) {
     if (disconnected) {
-      LOG.infof("event=watch-regained prefix=%s", prefix);
+      LOG.infof(
+          "event=watch-regained prefix=%s afterMs=%d failedCalls=%d changed=%s",
+          prefix, NodeContext.nowMs() - disconnectedMs, failedCalls, changed);
       disconnected = false;
+      failedCalls = 0;
     }
     retryMs = FIRST_RETRY_MS;
   }
 
-  private void onFailure(String reason) {
+  private void onFailure(String reason, long sentMs) {
+    failedCalls++;
     if (!disconnected) {
-      LOG.warnf("event=watch-lost prefix=%s reason=%s", prefix, reason);
+      LOG.warnf(
+          "event=watch-lost prefix=%s sentMsAgo=%d reason=%s",
+          prefix, NodeContext.nowMs() - sentMs, reason);
       disconnected = true;
+      disconnectedMs = NodeContext.nowMs();
     }
   }
 
--- a/src/main/java/org/plantainloom/transport/duty/EventLoop.java
+++ b/src/main/java/org/plantainloom/transport/duty/EventLoop.java
@@ -30,6 +30,9 @@
   private static final int RING_SIZE = 4096;
   private static final long CLOSE_TIMEOUT_MS = 2_000;
 
+  /** A longer task is logged, as all others wait for it. */
+  private static final long LONG_TASK_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
+
   private final String name;
   private final long tickMs;
   private final Runnable tick;
@@ -39,6 +42,11 @@
   private volatile Thread thread;
   private long lastTickNanos;
 
+  /** Written on the loop's thread only. */
+  private volatile long busyNanos;
+
+  private volatile long longestTaskNanos;
+
   private static final class Slot {
     private Runnable task;
   }
@@ -121,11 +129,32 @@
    * machine, and its leases would be renewed by nobody.
    */
   private void run(Runnable task) {
+    long startedNanos = clockNanos.getAsLong();
     try {
       task.run();
     } catch (RuntimeException | Error e) {
       LOG.errorf(e, "event loop %s: a task failed, the loop goes on", name);
     }
+    recordTask(clockNanos.getAsLong() - startedNanos);
+  }
+
+  @SuppressWarnings("NonAtomicVolatileUpdate") // one thread writes
+  private void recordTask(long nanos) {
+    busyNanos += nanos;
+    longestTaskNanos = Math.max(longestTaskNanos, nanos);
+    if (nanos >= LONG_TASK_NANOS) {
+      LOG.warnf("event=loop-busy id=%s busyMs=%d", name, TimeUnit.NANOSECONDS.toMillis(nanos));
+    }
+  }
+
+  /** Returns for how many milliseconds the loop has run tasks since its start. */
+  public long busyMs() {
+    return TimeUnit.NANOSECONDS.toMillis(busyNanos);
+  }
+
+  /** Returns how many milliseconds the longest task has taken. */
+  public long longestTaskMs() {
+    return TimeUnit.NANOSECONDS.toMillis(longestTaskNanos);
   }
 
   private void runLocalTasks() {
--- a/src/main/java/org/plantainloom/transport/http/MetricsText.java
+++ b/src/main/java/org/plantainloom/transport/http/MetricsText.java
@@ -10,10 +10,21 @@
 
   private MetricsText() {}
 
-  /** Returns each counter, and for each timer its count and its quantiles in milliseconds. */
+  /**
+   * Returns each counter, each gauge that has a number, and for each timer its count and its
+   * quantiles in milliseconds.
+   */
   public static String of(MetricRegistry metrics) {
     StringBuilder text = new StringBuilder();
     metrics.getCounters().forEach((name, counter) -> appendLine(text, name, counter.getCount()));
+    metrics
+        .getGauges()
+        .forEach(
+            (name, gauge) -> {
+              if (gauge.getValue() instanceof Number number) {
+                appendLine(text, name, number);
+              }
+            });
     metrics
         .getTimers()
         .forEach(
