Answer callers by a configuration of known age, and ask the store otherwise

Callers saw: 404, which is final for them, from a node whose knowledge of the queues was up to 14 s old (no-queue knownMsAgo=14336). Whatever makes a node's knowledge old, it answered as if it were new.

If it does not tell, requests that the configuration decides get 503 with Retry-After (submissions, counts, unknown queues), as another node may know; requests about a job of a known queue are served.

--- a/src/main/java/org/plantainloom/platform/JobHttpService.java
+++ b/src/main/java/org/plantainloom/platform/JobHttpService.java
@@ -2,6 +2,7 @@
 
 import com.linecorp.armeria.common.AggregatedHttpRequest;
 import com.linecorp.armeria.common.HttpHeaderNames;
+import com.linecorp.armeria.common.HttpMethod;
 import com.linecorp.armeria.common.HttpRequest;
 import com.linecorp.armeria.common.HttpResponse;
 import com.linecorp.armeria.common.HttpStatus;
@@ -11,6 +12,7 @@
 import com.linecorp.armeria.server.ServiceRequestContext;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executor;
 import java.util.regex.Pattern;
 import org.jboss.logging.Logger;
 import org.plantainloom.state.job.ClusterConfig;
@@ -41,23 +43,44 @@
 
   @Override
   public HttpResponse serve(ServiceRequestContext ctx, HttpRequest request) {
-    return HttpResponse.of(request.aggregate().thenCompose(this::handle));
+    return HttpResponse.of(
+        request.aggregate().thenCompose(aggregated -> handle(aggregated, ctx.eventLoop())));
   }
 
-  private CompletableFuture<HttpResponse> handle(AggregatedHttpRequest request) {
-    ClusterConfig config = node.config();
+  private CompletableFuture<HttpResponse> handle(AggregatedHttpRequest request, Executor executor) {
+    CompletableFuture<Optional<ClusterConfig>> current = node.currentConfig();
+    return current.isDone()
+        ? current.thenCompose(config -> route(request, config))
+        : current.thenComposeAsync(config -> route(request, config), executor);
+  }
+
+  /**
+   * Handles a request by the configuration in force. While that cannot be found out, requests about
+   * a job of a known queue are served all the same, as their outcome depends on the job only.
+   *
+   * @param current the configuration in force; empty if the store does not tell
+   */
+  private CompletableFuture<HttpResponse> route(
+      AggregatedHttpRequest request, Optional<ClusterConfig> current) {
+    ClusterConfig config = current.orElseGet(node::knownConfig);
     if (!config.isKnown()) {
       return rejectUnavailable("", "no configuration read from the store yet");
     }
-    String host = host(request);
-    Optional<QueueConfig> queue = config.route(host, request.path());
+    Optional<QueueConfig> queue = config.route(host(request), request.path());
+    String jobId =
+        queue.map(found -> request.path().substring(found.pathPrefix().length())).orElse("");
+    boolean ofJob = !jobId.isEmpty() && request.method() != HttpMethod.POST;
+    if (current.isEmpty() && !ofJob) {
+      return rejectUnavailable(
+          jobId,
+          "the configuration was known to be the newest one " + node.configAgeMs() + " ms ago");
+    }
     if (queue.isEmpty()) {
       LOG.infof(
           "event=no-queue host=%s path=%s version=%d knownMsAgo=%d",
-          host, request.path(), config.version(), node.configAgeMs());
+          host(request), request.path(), config.version(), node.configAgeMs());
       return respond(HttpStatus.NOT_FOUND, "");
     }
-    String jobId = request.path().substring(queue.get().pathPrefix().length());
     return switch (request.method()) {
       case POST -> submit(config, queue.get(), jobId, request);
       case GET -> jobId.isEmpty() ? pending(queue.get()) : status(jobId);
