Start no task by a configuration that may have been replaced

An owner that the store confirms, but whose watch of the operators' keys hears nothing, went on to start tasks at workers of the service that a queue was sent to before, and in zones that were withdrawn since. DispatcherTest.OutdatedConfig fails without this.

--- a/src/main/java/org/plantainloom/coordination/dispatch/Dispatcher.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/Dispatcher.java
@@ -303,6 +303,11 @@
     return commands;
   }
 
+  /** Sets whether the configuration and withdrawn zones are recent enough to start tasks. */
+  public void configCurrent(boolean current) {
+    starter.configCurrent(current);
+  }
+
   private boolean mayAct(long nowMs, long wallMs) {
     boolean valid = ownership.isValid(nowMs, wallMs);
     if (valid != acting) {
--- a/src/main/java/org/plantainloom/coordination/dispatch/TaskStarter.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/TaskStarter.java
@@ -38,6 +38,7 @@
   private long jobsAgeMs;
   private final PhaseRanking ranking = new PhaseRanking(ClusterConfig.UNKNOWN);
   private ClusterConfig config = ClusterConfig.UNKNOWN;
+  private boolean configCurrent = true;
 
   TaskStarter(
       DispatchPolicy policy,
@@ -60,6 +61,20 @@
     ranking.configure(newConfig);
   }
 
+  /**
+   * Sets whether the configuration and the withdrawn zones are recent enough. Nothing starts
+   * otherwise: a queue may have been re-targeted or a zone withdrawn since.
+   */
+  void configCurrent(boolean current) {
+    if (current != configCurrent) {
+      configCurrent = current;
+      log.logDecision(
+          current ? "config-current" : "config-outdated",
+          "config",
+          "version=" + config.version() + " effect=" + (current ? "starting" : "no starts"));
+    }
+  }
+
   /**
    * Returns the start commands that are due now.
    *
@@ -71,6 +86,9 @@
       Takeover takeover,
       long nowMs,
       long wallMs) {
+    if (!configCurrent) {
+      return List.of();
+    }
     jobsAgeMs = jobsFreshness.ageMs(nowMs, wallMs);
     sampleRoomIfDue(open, workers, nowMs);
     List<DispatchCommand> commands = new ArrayList<>();
--- a/src/main/java/org/plantainloom/transport/dispatch/Node.java
+++ b/src/main/java/org/plantainloom/transport/dispatch/Node.java
@@ -88,7 +88,7 @@
                   eventLoop,
                   delayedActions,
                   election,
-                  clusterWatch.view(),
+                  clusterWatch,
                   ownership,
                   confirmations));
     }
--- a/src/main/java/org/plantainloom/transport/dispatch/OwnerSession.java
+++ b/src/main/java/org/plantainloom/transport/dispatch/OwnerSession.java
@@ -41,7 +41,7 @@
   private final EventLoop eventLoop;
   private final PrefixWatch.DelayedExecutor delayedExecutor;
   private final OwnerElection election;
-  private final ClusterView cluster;
+  private final ClusterWatch clusterWatch;
   private final DecisionLog decisionLog;
   private final Ownership ownership;
   private final Dispatcher dispatcher;
@@ -70,14 +70,14 @@
       EventLoop eventLoop,
       PrefixWatch.DelayedExecutor delayedExecutor,
       OwnerElection election,
-      ClusterView cluster,
+      ClusterWatch clusterWatch,
       Ownership ownership,
       OwnershipConfirmations confirmations) {
     this.node = node;
     this.eventLoop = eventLoop;
     this.delayedExecutor = delayedExecutor;
     this.election = election;
-    this.cluster = cluster;
+    this.clusterWatch = clusterWatch;
     this.fencingToken = ownership.record().term();
     this.ownership = ownership;
     this.calls = new WorkerCalls(node.workers(), fencingToken);
@@ -243,6 +243,7 @@
 
   /** Passes the operators' configuration and the withdrawn zones to the dispatcher. */
   void clusterChanged() {
+    ClusterView cluster = clusterWatch.view();
     dispatcher.configure(cluster.config(), NodeContext.nowMs());
     dispatcher.withdrawZones(cluster.withdrawnZones());
     scheduleRound();
@@ -282,6 +283,7 @@
     if (dispatcher.areInheritedLeasesOver(now)) {
       previousOwnersInquiry.ifPresent(PreviousOwnersInquiry::close);
     }
+    dispatcher.configCurrent(clusterWatch.confirmIfOutdated());
     dispatcher.decide(now, NodeContext.wallMs()).forEach(order -> send(order, now));
     progressWriter.persist();
     if (dispatcher.isFenced()) {
--- a/src/test/java/org/plantainloom/coordination/dispatch/DispatcherTest.java
+++ b/src/test/java/org/plantainloom/coordination/dispatch/DispatcherTest.java
@@ -63,6 +63,25 @@
     }
   }
 
+  /** An owner that the store confirms, while it hears nothing from operators. */
+  public static class OutdatedConfig {
+    @Test
+    public void should_start_nothing_by_a_configuration_that_may_have_been_replaced() {
+      // given
+      DispatcherSimulation simulation = new DispatcherSimulation(2, 8).run(100);
+      simulation.dispatcher.configCurrent(false);
+      // when
+      simulation.submit(job(ID, "urgent", tasks(1, 1_000))).run(1_000);
+      // then
+      assertThat(simulation.startCount(FIRST)).isZero();
+      // when
+      simulation.dispatcher.configCurrent(true);
+      simulation.run(1_000);
+      // then
+      assertThat(simulation.startCount(FIRST)).isEqualTo(1);
+    }
+  }
+
   /** What the log tells of a task that starts again. */
   public static class EarlierRuns {
     @Test
