--- a/src/test/java/org/plantainloom/soak/QueueCallers.java
+++ b/src/test/java/org/plantainloom/soak/QueueCallers.java
@@ -25,7 +25,7 @@
   private static final int NEW_VERSIONS = 4;
 
   /** One in so many requests is a submission, if there are any. */
-  private static final int SUBMIT_EVERY = 25;
+  private static final int SUBMIT_EVERY = 8;
 
   private static final int TASK_MS = 200;
 
