--- a/src/test/java/org/plantainloom/soak/ConfigOperator.java
+++ b/src/test/java/org/plantainloom/soak/ConfigOperator.java
@@ -57,12 +57,10 @@
     write();
   }
 
-  /** Adds a queue, and returns its name. */
-  synchronized String addQueue() {
-    String name = "queue-" + namedQueues++;
-    queues.put(name, random.nextBoolean() ? FIRST_SERVICE : SECOND_SERVICE);
+  private void addQueue() {
+    // Names are used once, so that a response tells by which versions it was given.
+    queues.put("queue-" + namedQueues++, random.nextBoolean() ? FIRST_SERVICE : SECOND_SERVICE);
     write();
-    return name;
   }
 
   private List<String> changeable() {
--- a/src/test/java/org/plantainloom/soak/ConfigRule.java
+++ b/src/test/java/org/plantainloom/soak/ConfigRule.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.function.LongFunction;
+import java.util.function.UnaryOperator;
 
 /**
  * A configuration is in force in time, and no node goes back to an older one.
@@ -149,7 +150,7 @@
   List<Violation> startedElsewhere(
       List<RunHistory.Entry> runs,
       Map<String, Submission> submissions,
-      java.util.function.UnaryOperator<String> serviceOf,
+      UnaryOperator<String> serviceOf,
       LongFunction<OptionalInt> owner) {
     List<Violation> violations = new ArrayList<>();
     for (RunHistory.Entry run : runs) {
