Keep state only for the occurrences and tasks of a job that are at work

Cause: JobState built the state of each task of each occurrence when the job became known, 0.5 KB each, whenever it would be due. 14 such jobs are 78 MB in a heap of 64 MB, and each owner in turn read the same jobs. A wide job holds its tasks the same way, a round walked all occurrences, and the stored progress had an entry for each occurrence that was over.

A task has state once it was started, or may have been; any other is a bit.

FillUseTrackerTest and SuspensionTest reach a task of a job by the new accessors; what they assert is unchanged.

--- a/src/main/java/org/plantainloom/coordination/dispatch/LastingTaskWait.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/LastingTaskWait.java
@@ -39,6 +39,7 @@
   private Reason reason;
   private long observedMs;
   private long loggedMs;
+  private int namedTasks;
 
   LastingTaskWait(Reason reason, long nowMs) {
     this.sinceMs = nowMs;
@@ -76,8 +77,14 @@
     return loggedMs;
   }
 
-  void logged(long nowMs) {
+  /** Returns the index of the task after the one that was named last, where several share this. */
+  int namedTasks() {
+    return namedTasks;
+  }
+
+  void logged(int taskIndex, long nowMs) {
     loggedMs = nowMs;
+    namedTasks = taskIndex + 1;
   }
 
   /** Returns the part of a log line that tells the wait and its split by reason. */
--- a/src/main/java/org/plantainloom/coordination/dispatch/LastingTaskWaits.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/LastingTaskWaits.java
@@ -1,5 +1,6 @@
 package org.plantainloom.coordination.dispatch;
 
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.EnumMap;
@@ -27,14 +28,27 @@
   /** Tasks that are named each time. */
   private static final int MAX_LOGGED_TASKS = 5;
 
-  private static final Comparator<Map.Entry<TaskState, LastingTaskWait>> LONGEST_UNNAMED_FIRST =
-      Comparator.<Map.Entry<TaskState, LastingTaskWait>>comparingLong(e -> e.getValue().loggedMs())
-          .thenComparingLong(e -> e.getValue().sinceMs())
-          .thenComparing(e -> e.getKey().key.toString());
+  private static final Comparator<LongWait> LONGEST_UNNAMED_FIRST =
+      Comparator.comparingLong(LongWait::loggedMs)
+          .thenComparingLong(named -> named.taskWait().sinceMs())
+          .thenComparing(named -> named.task().key.toString());
+
+  /**
+   * A wait that may be named.
+   *
+   * @param loggedMs when that was done last; 0 if it was not
+   */
+  private record LongWait(TaskState task, LastingTaskWait taskWait, long loggedMs) {}
 
   private final DecisionLog log;
   private final Placement placement;
+
+  /** The waits of tasks that have state of their own. */
   private Map<TaskState, LastingTaskWait> waits = new HashMap<>();
+
+  /** The waits of all tasks of a phase that have never been started. */
+  private Map<PhaseState, LastingTaskWait> untouchedWaits = new HashMap<>();
+
   private long observedMs;
   private long loggedMs;
 
@@ -61,40 +75,48 @@
     }
     observedMs = nowMs;
     Map<TaskState, LastingTaskWait> waiting = new HashMap<>();
+    Map<PhaseState, LastingTaskWait> untouchedWaiting = new HashMap<>();
     for (JobState job : open) {
       for (PhaseState phase : job.lastingPhases()) {
-        List<TaskState> tasks = phase.isReady(wallMs) ? notRunning(phase) : List.of();
-        if (tasks.isEmpty()) {
+        if (!phase.isReady(wallMs) || !phase.hasTaskWithoutRun()) {
           continue;
         }
         Map<Boolean, Reason> unlessHeldBack = new HashMap<>();
-        for (TaskState task : tasks) {
-          Reason reason =
-              unlessHeldBack.computeIfAbsent(
-                  phase.goesFirst(task),
-                  first ->
-                      takeover.mayStart(job)
-                          ? placementReason(phase, first, serviceOf.apply(phase), workers, nowMs)
-                          : Reason.TAKEOVER);
-          reason = task.possibleWorkers.isEmpty() ? reason : Reason.SILENT_WORKER;
-          waiting.put(task, observe(task, reason, nowMs));
+        Function<TaskState, Reason> reasonOf =
+            task ->
+                unlessHeldBack.computeIfAbsent(
+                    phase.goesFirst(task),
+                    first ->
+                        takeover.mayStart(job)
+                            ? placementReason(phase, first, serviceOf.apply(phase), workers, nowMs)
+                            : Reason.TAKEOVER);
+        for (TaskState task : notRunning(phase)) {
+          Reason reason = task.isHeldBack() ? Reason.SILENT_WORKER : reasonOf.apply(task);
+          waiting.put(task, observe(waits.get(task), reason, nowMs));
         }
+        phase
+            .untouched(0, 1)
+            .forEach(
+                task ->
+                    untouchedWaiting.put(
+                        phase, observe(untouchedWaits.get(phase), reasonOf.apply(task), nowMs)));
       }
     }
     waits = waiting;
-    if (!waits.isEmpty() && nowMs - loggedMs >= LOG_INTERVAL_MS) {
+    untouchedWaits = untouchedWaiting;
+    boolean anyWaits = !waits.isEmpty() || !untouchedWaits.isEmpty();
+    if (anyWaits && nowMs - loggedMs >= LOG_INTERVAL_MS) {
       loggedMs = nowMs;
       logWaits(nowMs);
     }
   }
 
-  private LastingTaskWait observe(TaskState task, Reason reason, long nowMs) {
-    LastingTaskWait wait = waits.get(task);
-    if (wait == null) {
+  private static LastingTaskWait observe(LastingTaskWait known, Reason reason, long nowMs) {
+    if (known == null) {
       return new LastingTaskWait(reason, nowMs);
     }
-    wait.observe(reason, nowMs);
-    return wait;
+    known.observe(reason, nowMs);
+    return known;
   }
 
   /** Returns the part of a log line that tells how long a task has waited that is now started. */
@@ -102,7 +124,8 @@
     if (!task.phase.spec.lasting()) {
       return "";
     }
-    LastingTaskWait wait = waits.remove(task);
+    LastingTaskWait own = waits.remove(task);
+    LastingTaskWait wait = own == null ? untouchedWaits.get(task.phase) : own;
     return " " + (wait == null ? "waitedMs=0" : wait.logText(nowMs));
   }
 
@@ -113,7 +136,9 @@
   }
 
   private static List<TaskState> notRunning(PhaseState phase) {
-    return phase.tasks.stream().filter(task -> !task.done && task.runs.isEmpty()).toList();
+    return phase.trackedTasks().stream()
+        .filter(task -> !task.isDone() && task.runs.isEmpty())
+        .toList();
   }
 
   private Reason placementReason(
@@ -133,17 +158,30 @@
   private void logWaits(long nowMs) {
     Map<Reason, Integer> counts = new EnumMap<>(Reason.class);
     waits.values().forEach(wait -> counts.merge(wait.reason(), 1, Integer::sum));
+    List<LongWait> all = new ArrayList<>();
+    waits.forEach((task, wait) -> all.add(new LongWait(task, wait, wait.loggedMs())));
+    untouchedWaits.forEach(
+        (phase, wait) -> {
+          counts.merge(wait.reason(), phase.untouchedCount(), Integer::sum);
+          for (TaskState task : phase.untouched(wait.namedTasks(), MAX_LOGGED_TASKS)) {
+            boolean named = task.key.index() < wait.namedTasks();
+            all.add(new LongWait(task, wait, named ? wait.loggedMs() : 0));
+          }
+        });
+    if (all.isEmpty()) {
+      return;
+    }
     TaskState longest =
-        waits.entrySet().stream()
-            .min(Comparator.comparingLong(entry -> entry.getValue().sinceMs()))
+        all.stream()
+            .min(Comparator.comparingLong(named -> named.taskWait().sinceMs()))
             .orElseThrow()
-            .getKey();
+            .task();
     log.logDecision("lasting-tasks-wait", longest.key, describe(counts));
-    waits.entrySet().stream()
-        .filter(entry -> entry.getValue().waitedMs(nowMs) >= LONG_WAIT_MS)
+    all.stream()
+        .filter(named -> named.taskWait().waitedMs(nowMs) >= LONG_WAIT_MS)
         .sorted(LONGEST_UNNAMED_FIRST)
         .limit(MAX_LOGGED_TASKS)
-        .forEach(entry -> logWait(entry.getKey(), entry.getValue(), nowMs));
+        .forEach(named -> logWait(named.task(), named.taskWait(), nowMs));
   }
 
   private void logWait(TaskState task, LastingTaskWait wait, long nowMs) {
@@ -152,7 +190,7 @@
         "lasting-task-delayed",
         task.key,
         "reason=" + wait.reason().label() + " " + wait.logText(nowMs) + earlier);
-    wait.logged(nowMs);
+    wait.logged(task.key.index(), nowMs);
   }
 
   private static String describe(Map<Reason, Integer> counts) {
--- a/src/main/java/org/plantainloom/coordination/dispatch/PhaseRanking.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/PhaseRanking.java
@@ -2,7 +2,6 @@
 
 import java.util.Comparator;
 import org.plantainloom.state.job.ClusterConfig;
-import org.plantainloom.state.job.PhaseSpec;
 import org.plantainloom.state.job.QueueConfig;
 
 /**
@@ -73,14 +72,14 @@
     JobState job = phase.job;
     QueueConfig queue = config.queue(job.spec.queue()).orElse(null);
     int priority = queue == null ? Integer.MAX_VALUE : queue.priority();
-    long releasedMs = Math.max(job.spec.acceptedMs(), job.spec.dueMs(phase.occurrence));
+    long releasedMs = Math.max(job.spec.acceptedMs(), job.spec.dueMs(phase.occurrence.number));
     if (phase.spec.lasting()) {
       return new Rank(first, priority, Group.LASTING, releasedMs, job.spec.acceptedMs());
     }
     double stretchFactor = queue == null ? 1 : queue.stretchFactor();
     long fixedMs = queue == null ? 0 : queue.objectiveMs();
-    long objectiveMs = (long) (stretchFactor * criticalPathMs(job, 0)) + fixedMs;
-    long finishMs = wallMs + remainingPathMs(job, phase);
+    long objectiveMs = (long) (stretchFactor * job.criticalPathMs(0)) + fixedMs;
+    long finishMs = wallMs + job.criticalPathMs(phase.index);
     Group group;
     if (finishMs <= releasedMs + objectiveMs) {
       group = Group.ON_TIME;
@@ -92,28 +91,7 @@
         false,
         priority,
         group,
-        releasedMs + objectiveMs - remainingPathMs(job, phase),
+        releasedMs + objectiveMs - job.criticalPathMs(phase.index),
         job.spec.acceptedMs());
   }
-
-  private static long remainingPathMs(JobState job, PhaseState phase) {
-    return criticalPathMs(job, phase.index);
-  }
-
-  /** Returns the estimated critical path of the phases from an index on, in milliseconds. */
-  private static long criticalPathMs(JobState job, int fromPhase) {
-    int count = job.spec.phases().size();
-    long[] finishMs = new long[count];
-    long longestMs = 0;
-    for (int i = fromPhase; i < count; i++) {
-      PhaseSpec spec = job.spec.phases().get(i);
-      long startMs = 0;
-      for (int before : spec.after()) {
-        startMs = Math.max(startMs, finishMs[before]);
-      }
-      finishMs[i] = startMs + spec.estimateMs();
-      longestMs = Math.max(longestMs, finishMs[i]);
-    }
-    return longestMs;
-  }
 }
--- a/src/main/java/org/plantainloom/coordination/dispatch/PhaseState.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/PhaseState.java
@@ -1,109 +1,238 @@
 package org.plantainloom.coordination.dispatch;
 
 import java.util.ArrayList;
+import java.util.BitSet;
+import java.util.Collection;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.TreeMap;
 import org.plantainloom.state.job.PhaseSpec;
 import org.plantainloom.state.job.TaskKey;
 
-/** The scheduler's view of one phase of one occurrence of a job. */
+/**
+ * The scheduler's view of one phase of one occurrence of a job.
+ *
+ * <p>Only a task that has been started, or may have been, has state of its own; it is tracked. Any
+ * other is a bit, so that a phase of thousands of tasks costs no more than those that run.
+ */
 final class PhaseState {
+  final OccurrenceState occurrence;
   final JobState job;
-  final int occurrence;
   final int index;
   final PhaseSpec spec;
-  final List<TaskState> tasks;
   final String imageKey;
-  int doneCount;
+  private final BitSet done = new BitSet(0);
+
+  /** For tasks that last, which of them have run, under this owner or a previous one. */
+  private final BitSet begun = new BitSet(0);
+
+  private final TreeMap<Integer, TaskState> tracked = new TreeMap<>();
+  private int doneCount;
 
   /** Room for one more task, sampled while tasks that have run before have no run. */
   final SeenRoom seenRoom = new SeenRoom();
 
-  PhaseState(JobState job, int occurrence, int index, PhaseSpec spec) {
-    this.job = job;
+  PhaseState(OccurrenceState occurrence, int index) {
     this.occurrence = occurrence;
+    this.job = occurrence.job;
     this.index = index;
-    this.spec = spec;
-    this.tasks = new ArrayList<>(spec.count());
-    this.imageKey = spec.image().isEmpty() ? job.spec.queue() + "/" + index : spec.image();
-    for (int i = 0; i < spec.count(); i++) {
-      tasks.add(new TaskState(new TaskKey(job.spec.id(), occurrence, index, i), this));
-    }
+    this.spec = job.spec.phases().get(index);
+    this.imageKey = job.imageKey(index);
   }
 
   boolean isDone() {
-    return doneCount == tasks.size();
+    return doneCount == spec.count();
+  }
+
+  boolean isDone(int task) {
+    return done.get(task);
+  }
+
+  boolean hasBegun(int task) {
+    return begun.get(task);
+  }
+
+  BitSet doneBits() {
+    return done;
+  }
+
+  BitSet begunBits() {
+    return begun;
+  }
+
+  /** Returns the tasks that have state of their own. */
+  Collection<TaskState> trackedTasks() {
+    return tracked.values();
+  }
+
+  /** Returns a task, which is only kept if it is {@link TaskState#track tracked}. */
+  TaskState task(int task) {
+    TaskState known = tracked.get(task);
+    return known != null
+        ? known
+        : new TaskState(new TaskKey(job.spec.id(), occurrence.number, index, task), this);
+  }
+
+  void track(TaskState task) {
+    if (tracked.putIfAbsent(task.key.index(), task) == null) {
+      job.keepOpen(occurrence);
+    }
+  }
+
+  /** Forgets the state of a task that needs none any more. */
+  void untrackIfOver(TaskState task) {
+    if ((task.isDone() || job.isFinished()) && !task.mayRun()) {
+      tracked.remove(task.key.index(), task);
+      job.closeIfOver(occurrence);
+    }
   }
 
   boolean isReady(long wallMs) {
-    if (isDone() || wallMs < job.spec.dueMs(occurrence)) {
+    if (isDone() || wallMs < job.spec.dueMs(occurrence.number)) {
       return false;
     }
-    List<PhaseState> siblings = job.occurrences.get(occurrence);
     for (int before : spec.after()) {
-      if (!siblings.get(before).isDone()) {
+      if (!occurrence.phases.get(before).isDone()) {
         return false;
       }
     }
     return true;
   }
 
+  /** Returns whether any task has a run, or may have one on a worker that does not answer. */
+  boolean mayRun() {
+    for (TaskState task : tracked.values()) {
+      if (task.mayRun()) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  /** Returns how many tasks have never been started, as far as this owner knows. */
+  int untouchedCount() {
+    int touched = doneCount;
+    for (TaskState task : tracked.values()) {
+      touched += task.isDone() ? 0 : 1;
+    }
+    return spec.count() - touched;
+  }
+
+  /** Returns tasks that have never been started, from an index on and then from the first one. */
+  List<TaskState> untouched(int from, int limit) {
+    List<TaskState> untouched = new ArrayList<>();
+    int wanted = Math.min(limit, untouchedCount());
+    for (int index = from; untouched.size() < wanted; index++) {
+      int task = index % spec.count();
+      if (!done.get(task) && !tracked.containsKey(task)) {
+        untouched.add(task(task));
+      }
+    }
+    return untouched;
+  }
+
   /** Returns whether any task is waiting for a worker. */
   boolean hasWaitingTask(long nowMs) {
-    for (TaskState task : tasks) {
-      if (task.isPending() && task.notBeforeMs <= nowMs) {
+    for (TaskState task : tracked.values()) {
+      if (task.isWaiting(nowMs)) {
         return true;
       }
     }
-    return false;
+    return untouchedCount() > 0;
   }
 
   /** Returns whether any task has no run, be it that it waits or is held back. */
   boolean hasTaskWithoutRun() {
-    return tasks.stream().anyMatch(task -> !task.done && task.runs.isEmpty());
-  }
-
-  /** Returns the tasks that are waiting for a worker; for a gang, all of its tasks or none. */
-  List<TaskState> waitingTasks(long nowMs) {
-    List<TaskState> waiting = new ArrayList<>();
-    for (TaskState task : tasks) {
-      if (task.isPending() && task.notBeforeMs <= nowMs) {
-        waiting.add(task);
+    for (TaskState task : tracked.values()) {
+      if (!task.isDone() && task.runs.isEmpty()) {
+        return true;
       }
     }
-    return spec.gang() && waiting.size() < tasks.size() ? List.of() : waiting;
+    return untouchedCount() > 0;
   }
 
-  /** Returns the waiting tasks that {@link #goesFirst go first}, or the others. */
-  List<TaskState> waitingTasks(boolean first, long nowMs) {
-    if (!spec.lasting() || !seenRoom.isFrequent()) {
-      return first ? List.of() : waitingTasks(nowMs);
+  /**
+   * Returns tasks that are waiting for a worker; for a gang, all of its tasks or none.
+   *
+   * @param first whether those that {@link #goesFirst go first} are returned, or the others
+   * @param limit how many are returned at the most, but for a gang
+   */
+  List<TaskState> waitingTasks(boolean first, long nowMs, int limit) {
+    boolean anyGoesFirst = spec.lasting() && seenRoom.isFrequent();
+    if (first && !anyGoesFirst) {
+      return List.of();
     }
-    List<TaskState> waiting = waitingTasks(nowMs);
     if (spec.gang()) {
-      return waiting.stream().anyMatch(this::goesFirst) == first ? waiting : List.of();
+      List<TaskState> gang = waiting(nowMs, spec.count());
+      boolean goesFirst = anyGoesFirst && gang.stream().anyMatch(this::goesFirst);
+      return gang.size() == spec.count() && goesFirst == first ? gang : List.of();
     }
-    return waiting.stream().filter(task -> goesFirst(task) == first).toList();
+    return waiting(nowMs, limit).stream()
+        .filter(task -> !anyGoesFirst || goesFirst(task) == first)
+        .toList();
+  }
+
+  /** Returns the waiting tasks, of those that have never been started no more than a limit. */
+  private List<TaskState> waiting(long nowMs, int untouchedLimit) {
+    List<TaskState> waiting = new ArrayList<>();
+    int untouched = Math.min(untouchedLimit, untouchedCount());
+    int next = done.nextClearBit(0);
+    for (TaskState task : tracked.values()) {
+      for (; untouched > 0 && next < task.key.index(); next = done.nextClearBit(next + 1)) {
+        waiting.add(task(next));
+        untouched--;
+      }
+      if (next == task.key.index()) {
+        next = done.nextClearBit(next + 1);
+      }
+      if (task.isWaiting(nowMs)) {
+        waiting.add(task);
+      }
+    }
+    for (; untouched > 0; next = done.nextClearBit(next + 1)) {
+      waiting.add(task(next));
+      untouched--;
+    }
+    return waiting;
   }
 
   /** Returns whether a task goes before all others that wait, and no worker is kept free of it. */
   boolean goesFirst(TaskState task) {
-    return spec.lasting() && task.begun && seenRoom.isFrequent();
+    return spec.lasting() && hasBegun(task.key.index()) && seenRoom.isFrequent();
   }
 
   /** Returns whether any task has run before, and has no run now. */
   boolean hasTaskToRunAgain() {
-    return spec.lasting() && tasks.stream().anyMatch(task -> task.begun && task.runs.isEmpty());
+    if (!spec.lasting()) {
+      return false;
+    }
+    for (TaskState task : tracked.values()) {
+      if (task.runs.isEmpty() && hasBegun(task.key.index())) {
+        return true;
+      }
+    }
+    return false;
   }
 
-  void markDone(TaskState task) {
-    if (!task.done) {
-      task.done = true;
+  void markDone(int task) {
+    if (!done.get(task)) {
+      done.set(task);
       doneCount++;
     }
   }
 
+  void markAllDone() {
+    done.set(0, spec.count());
+    doneCount = spec.count();
+  }
+
+  /** Marks that a lasting task has run; it is tracked from then on, as it has to run again. */
+  void markBegun(int task) {
+    begun.set(task);
+    task(task).track();
+  }
+
   int tasksOn(WorkerState worker) {
     int count = 0;
     for (Run run : worker.runs.values()) {
@@ -120,7 +249,7 @@
       return task.failures.size();
     }
     Set<Long> failedRuns = new HashSet<>();
-    tasks.forEach(t -> failedRuns.addAll(t.failures));
+    tracked.values().forEach(member -> failedRuns.addAll(member.failures));
     return failedRuns.size();
   }
 }
--- a/src/main/java/org/plantainloom/coordination/dispatch/RunLifecycle.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/RunLifecycle.java
@@ -46,6 +46,7 @@
 
   Run begin(TaskState task, WorkerState worker, long number, long nowMs) {
     Run run = new Run(task, number, worker, nowMs);
+    task.track();
     task.lastRunNumber = Math.max(task.lastRunNumber, number);
     task.runs.add(run);
     worker.add(run);
@@ -64,8 +65,8 @@
    */
   private void markBegun(TaskState task) {
     JobState job = task.phase.job;
-    if (task.phase.spec.lasting() && !task.begun && !job.isFinished()) {
-      task.begun = true;
+    if (task.phase.spec.lasting() && !task.phase.hasBegun(task.key.index()) && !job.isFinished()) {
+      task.phase.markBegun(task.key.index());
       jobs.markChanged(job);
     }
     if (job.status == JobStatus.QUEUED) {
@@ -76,6 +77,7 @@
   private static void forget(Run run) {
     run.task.runs.remove(run);
     run.worker.remove(run);
+    run.task.phase.untrackIfOver(run.task);
   }
 
   /** Removes a run whose start command was never sent. */
@@ -122,6 +124,7 @@
       String checkpoint,
       long listedMs,
       long nowMs) {
+    task.track();
     task.lastRunNumber = Math.max(task.lastRunNumber, number);
     task.lastConclusion =
         Optional.of(new RunConclusion(number, worker.id(), outcome, Evidence.END_LISTED, listedMs));
@@ -133,6 +136,7 @@
         task.key + "#" + number + "@" + worker.id(),
         "kind=" + outcome + " former=true");
     applyEnd(task, number, worker, outcome, nowMs);
+    task.phase.untrackIfOver(task);
   }
 
   private void applyEnd(
@@ -149,7 +153,7 @@
         }
       }
       case FAILED -> {
-        if (task.addFailure(number)) {
+        if (!task.isDone() && task.addFailure(number)) {
           countFailure(worker, job, nowMs);
           taskFailed(task, nowMs);
         }
@@ -167,13 +171,16 @@
     PhaseState phase = task.phase;
     JobState job = phase.job;
     if (phase.spec.gang()) {
-      phase.tasks.forEach(phase::markDone);
+      phase.markAllDone();
+      List.copyOf(phase.trackedTasks()).forEach(phase::untrackIfOver);
     } else {
-      phase.markDone(task);
+      phase.markDone(task.key.index());
+      phase.untrackIfOver(task);
     }
     task.runs.forEach(Run::stop);
+    job.closeIfOver(phase.occurrence);
     jobs.markChanged(job);
-    if (!job.isFinished() && job.allPhasesDone()) {
+    if (!job.isFinished() && job.areAllOccurrencesDone()) {
       jobs.finish(job, JobStatus.COMPLETED, nowMs);
       log.logDecision("job-completed", job.spec.id(), "afterMs=" + (nowMs - job.knownSinceMs));
     }
@@ -188,7 +195,7 @@
 
   /** Fails a job if one of its tasks has failed as often as its queue allows. */
   void failIfAttemptsExhausted(JobState job, long nowMs) {
-    job.forEachTask(
+    job.forEachTrackedTask(
         task -> {
           if (!task.failures.isEmpty()) {
             failIfAttemptsExhausted(job, task, nowMs);
@@ -222,7 +229,8 @@
   /** Ends a job before all its tasks are done and stops its runs. */
   void endJob(JobState job, JobStatus status, long nowMs) {
     jobs.finish(job, status, nowMs);
-    job.forEachTask(task -> task.runs.forEach(Run::stop));
+    job.forEachTrackedTask(task -> task.runs.forEach(Run::stop));
+    job.releaseState();
   }
 
   /** Handles the loss of all runs of a worker. */
--- a/src/main/java/org/plantainloom/coordination/dispatch/TaskStarter.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/TaskStarter.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import org.plantainloom.state.ResourceVector;
 import org.plantainloom.state.job.ClusterConfig;
+import org.plantainloom.state.job.PhaseSpec;
 import org.plantainloom.state.job.StartTaskCommand;
 
 /** Starts ready tasks in the order of {@link PhaseRanking}, as far as workers have room. */
@@ -96,6 +97,7 @@
     double lastingCpuMillis = 0;
     int smallestWaitingCpuMillis = Integer.MAX_VALUE;
     for (JobState job : open) {
+      job.openDue(wallMs);
       for (PhaseState phase : job.lastingPhases()) {
         // Held-back tasks count, so that unused room is known when they may start.
         if (phase.isReady(wallMs) && phase.hasTaskWithoutRun()) {
@@ -106,11 +108,9 @@
       if (!takeover.mayStart(job)) {
         continue;
       }
-      for (List<PhaseState> phases : job.occurrences) {
-        for (PhaseState phase : phases) {
-          if (phase.spec.lasting()) {
-            lastingCpuMillis += (double) phase.tasks.size() * phase.spec.need().cpuMillis();
-          }
+      lastingCpuMillis += lastingCpuMillis(job, wallMs);
+      for (OccurrenceState occurrence : job.openOccurrences()) {
+        for (PhaseState phase : occurrence.phases) {
           if (phase.isReady(wallMs) && phase.hasWaitingTask(nowMs)) {
             addRanked(phase, ready, nowMs, wallMs);
           }
@@ -135,6 +135,20 @@
     return commands;
   }
 
+  /** Returns what the lasting tasks of a job need that are due, whether they run or wait. */
+  private static double lastingCpuMillis(JobState job, long wallMs) {
+    if (!job.isLasting()) {
+      return 0;
+    }
+    double cpuMillis = 0;
+    for (PhaseSpec phase : job.spec.phases()) {
+      if (phase.lasting()) {
+        cpuMillis += (double) phase.count() * phase.need().cpuMillis();
+      }
+    }
+    return cpuMillis * job.unfinishedDueCount(wallMs);
+  }
+
   private void sampleRoomIfDue(
       Collection<JobState> open, Collection<WorkerState> workers, long nowMs) {
     if (nowMs - roomSampledMs < ROOM_SAMPLE_INTERVAL_MS) {
@@ -154,10 +168,10 @@
 
   private void addRanked(PhaseState phase, List<RankedPhase> ready, long nowMs, long wallMs) {
     boolean mayBeAgain = phase.spec.lasting();
-    if (mayBeAgain && !phase.waitingTasks(true, nowMs).isEmpty()) {
+    if (mayBeAgain && !phase.waitingTasks(true, nowMs, 1).isEmpty()) {
       ready.add(new RankedPhase(ranking.rank(phase, true, wallMs), phase));
     }
-    if (!mayBeAgain || !phase.waitingTasks(false, nowMs).isEmpty()) {
+    if (!mayBeAgain || !phase.waitingTasks(false, nowMs, 1).isEmpty()) {
       ready.add(new RankedPhase(ranking.rank(phase, false, wallMs), phase));
     }
   }
@@ -187,7 +201,7 @@
       return;
     }
     List<Run> started = new ArrayList<>();
-    List<TaskState> waiting = phase.waitingTasks(first, nowMs);
+    List<TaskState> waiting = phase.waitingTasks(first, nowMs, MAX_UNANSWERED_STARTS);
     long gangNumber = waiting.stream().mapToLong(runs::nextNumber).max().orElse(1);
     for (TaskState task : waiting) {
       if (!phase.spec.gang() && unansweredStarts + started.size() >= MAX_UNANSWERED_STARTS) {
--- a/src/main/java/org/plantainloom/coordination/dispatch/WorkerTable.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/WorkerTable.java
@@ -155,8 +155,7 @@
   /** Once all jobs are restored, holds back the tasks that unreachable workers may run. */
   void holdPossibleTasks() {
     for (WorkerState worker : workers.values()) {
-      worker.possibleTasks.ifPresent(
-          keys -> forEachTask(keys, task -> task.possibleWorkers.add(worker)));
+      worker.possibleTasks.ifPresent(keys -> forEachTask(keys, task -> task.holdFor(worker)));
     }
   }
 
@@ -188,13 +187,14 @@
 
   private static void release(
       TaskState task, WorkerState worker, Evidence evidence, long evidenceMs) {
-    task.possibleWorkers.remove(worker);
+    task.releaseFrom(worker);
     if (task.runs.isEmpty() && task.lastConclusion.isEmpty()) {
       task.lastConclusion =
           Optional.of(
               new RunConclusion(
                   task.lastRunNumber, worker.id(), RunOutcome.LOST, evidence, evidenceMs));
     }
+    task.phase.untrackIfOver(task);
   }
 
   /** Handles a new or changed registration. */
--- a/src/main/java/org/plantainloom/state/job/JobLimits.java
+++ b/src/main/java/org/plantainloom/state/job/JobLimits.java
@@ -5,8 +5,9 @@
 /** Limits of a job, beyond which an owner could not hold it in memory or compute its times. */
 public final class JobLimits {
   /**
-   * Tasks of all occurrences of a job above which it is rejected. The owner keeps each task in
-   * memory, so one absurd job would otherwise take down each owner that reads it.
+   * Tasks of all occurrences of a job above which it is rejected. The owner keeps some bits of each
+   * task in memory and in the store, so one absurd job would otherwise take down each owner that
+   * reads it.
    */
   public static final long MAX_TASKS = 20_000;
 
--- a/src/main/java/org/plantainloom/transport/dispatch/StoredProgress.java
+++ b/src/main/java/org/plantainloom/transport/dispatch/StoredProgress.java
@@ -7,6 +7,7 @@
 import java.util.Set;
 import org.plantainloom.protocol.Json;
 import org.plantainloom.protocol.MalformedMessageException;
+import org.plantainloom.state.job.DoneRange;
 import org.plantainloom.state.job.JobProgress;
 import org.plantainloom.state.job.JobSpec;
 import org.plantainloom.state.job.TaskKey;
@@ -33,7 +34,7 @@
     if (progress.failures().values().stream().anyMatch(runs -> runs.contains(null))) {
       throw damage("a missing number of a failed run");
     }
-    progress.done().forEach((phase, bits) -> requireTasks(spec, phase, bits));
+    progress.done().forEach((key, bits) -> requireDone(spec, key, bits));
     progress.begun().ifPresent(b -> b.forEach((phase, bits) -> requireTasks(spec, phase, bits)));
     requireTasks(spec, progress.failures().keySet());
     requireTasks(spec, progress.checkpoints().keySet());
@@ -44,6 +45,16 @@
     return map == null || map.values().stream().anyMatch(value -> value == null);
   }
 
+  /** Checks a range of occurrences, which has no bits, or a bit set of tasks. */
+  private static void requireDone(JobSpec spec, String key, String bits) {
+    Optional<DoneRange> range = DoneRange.parse(key);
+    if (range.isEmpty()) {
+      requireTasks(spec, key, bits);
+    } else if (!bits.isEmpty() || range.get().last() >= spec.occurrences()) {
+      throw damage("occurrences that the job does not have");
+    }
+  }
+
   /** Checks a bit set of tasks, whose key is {@code occurrence.phase}. */
   private static void requireTasks(JobSpec spec, String phase, String bits) {
     try {
--- a/src/test/java/org/plantainloom/coordination/dispatch/FillUseTrackerTest.java
+++ b/src/test/java/org/plantainloom/coordination/dispatch/FillUseTrackerTest.java
@@ -4,6 +4,7 @@
 import static org.plantainloom.coordination.dispatch.DispatcherSimulation.fill;
 import static org.plantainloom.coordination.dispatch.DispatcherSimulation.job;
 
+import org.plantainloom.state.job.TaskKey;
 import org.testng.annotations.Test;
 
 /** Tests the use of the processors over the half second that a measurement covers. */
@@ -20,7 +21,7 @@
 
   private Run startFillTask() {
     JobState job = new JobState(job("j", "fill", fill(1, 8_000, "image")), 0);
-    Run run = new Run(job.occurrences.get(0).get(0).tasks.get(0), 1, worker, 0);
+    Run run = new Run(job.task(new TaskKey("j", 0, 0, 0)), 1, worker, 0);
     run.recentMeasurement = 8_000;
     worker.add(run);
     return run;
--- a/src/test/java/org/plantainloom/coordination/dispatch/SuspensionTest.java
+++ b/src/test/java/org/plantainloom/coordination/dispatch/SuspensionTest.java
@@ -115,7 +115,7 @@
     }
     // when: the worker lists a run that is not known
     JobState unknown = new JobState(job(ID, "urgent", serving(1, 8_000, "")), simulation.nowMs);
-    PhaseState phase = unknown.occurrences.get(0).get(0);
+    PhaseState phase = unknown.openOccurrences().iterator().next().phases.get(0);
     suspended.stopsLate = true;
     for (int i = 0; i < 20; i++) {
       suspended.running.put(
--- a/src/test/java/org/plantainloom/transport/dispatch/StoredJobTest.java
+++ b/src/test/java/org/plantainloom/transport/dispatch/StoredJobTest.java
@@ -162,9 +162,28 @@
       assertThat(StoredProgress.parse(JOB, text)).isEqualTo(expected);
     }
 
+    @Test
+    public void should_read_occurrences_that_are_over() {
+      // given
+      JobProgress progress =
+          new JobProgress(
+              JobStatus.ACTIVE,
+              Map.of("0-1", "", "2.0", "01"),
+              Map.of(),
+              Map.of(),
+              Optional.empty());
+      // then
+      assertThat(StoredProgress.parse(JOB, Json.write(progress))).isEqualTo(progress);
+    }
+
     @DataProvider
     public static Object[][] damagedProgress() {
       return new Object[][] {
+        {damaged(PROGRESS, "\"0.0\":\"ff01\"", "\"0-3\":\"\"")},
+        {damaged(PROGRESS, "\"0.0\":\"ff01\"", "\"1-0\":\"\"")},
+        {damaged(PROGRESS, "\"0.0\":\"ff01\"", "\"0-01\":\"\"")},
+        {damaged(PROGRESS, "\"0.0\":\"ff01\"", "\"0-1\":\"01\"")},
+        {damaged(PROGRESS, "\"0.0\":\"ff01\"", "\"0-99999999999\":\"\"")},
         {""},
         {"null"},
         {"{}"},
