Attribute failed runs by what they have in common

One such job of 400 tasks alone took nearly all starts.

Cause: three failures in a row of different jobs suspended a worker, whatever failed elsewhere, on any share of the workers. The failing tasks, and only those, could start on suspended workers, where they failed again and renewed the suspension. They were tried again every 50 ms for ever, before all others, and each failure was written and kept by number.

Now a job whose runs fail on three workers on which no other job fails, and hold on none, is to blame; its failures count against no worker, and workers that were suspended on its word are released. At most half of a service's workers are suspended for failures. The delay of a task doubles with each early failure, up to 3 s; a task that fails once still starts after 50 ms, on another worker. Tasks that keep failing get a quarter of the starts in flight while others wait. Failures of tasks that last, which have no limit, are not stored.

--- a/src/main/java/org/plantainloom/coordination/dispatch/Dispatcher.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/Dispatcher.java
@@ -95,6 +95,7 @@
     this.runs =
         new RunLifecycle(
             jobs,
+            new FailureAttribution(workers::all, log),
             log,
             (term - 1) * RUN_NUMBERS_PER_TERM + 1,
             name -> config.queue(name).orElse(null));
@@ -378,7 +379,7 @@
 
   /** Handles the answer to a start. */
   public void startAnswered(DispatchCommand.Start start, CommandReply reply, long nowMs) {
-    starter.startAnswered();
+    starter.startAnswered(start.run());
     commandReplies.startAnswered(start, reply, nowMs);
   }
 
--- a/src/main/java/org/plantainloom/coordination/dispatch/JobState.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/JobState.java
@@ -63,6 +63,8 @@
   /** The first version in which the job is finished. */
   long finishedVersion;
 
+  private final Map<Integer, FailureHistory> failureHistories = new HashMap<>(0);
+
   JobState(JobSpec spec, long nowMs) {
     this.spec = spec;
     this.knownSinceMs = nowMs;
@@ -99,6 +101,11 @@
     return lasting;
   }
 
+  /** Returns where the runs of a phase have failed lately, in all occurrences. */
+  FailureHistory failureHistory(int phase) {
+    return failureHistories.computeIfAbsent(phase, index -> new FailureHistory(spec.id()));
+  }
+
   /** Returns the name under which the tasks of a phase behave alike. */
   String imageKey(int phase) {
     return imageKeys.get(phase);
@@ -352,9 +359,10 @@
     return occurrence.phases.get(first.phase());
   }
 
+  /** The failures of a task that lasts have no limit, so that none is needed. */
   private void restoreFailures(String key, List<Long> runs) {
     TaskState task = task(TaskKey.parse(key).orElseThrow());
-    if (!task.isDone()) {
+    if (!task.isDone() && !task.phase.spec.lasting()) {
       task.track();
       task.failures.addAll(runs);
     }
--- a/src/main/java/org/plantainloom/coordination/dispatch/LastingTaskWaits.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/LastingTaskWaits.java
@@ -88,7 +88,7 @@
                     phase.goesFirst(task),
                     first ->
                         takeover.mayStart(job)
-                            ? placementReason(phase, first, serviceOf.apply(phase), workers, nowMs)
+                            ? placementReason(task, first, serviceOf.apply(phase), workers, nowMs)
                             : Reason.TAKEOVER);
         for (TaskState task : notRunning(phase)) {
           Reason reason = task.isHeldBack() ? Reason.SILENT_WORKER : reasonOf.apply(task);
@@ -142,15 +142,11 @@
   }
 
   private Reason placementReason(
-      PhaseState phase,
-      boolean first,
-      String service,
-      Collection<WorkerState> workers,
-      long nowMs) {
-    if (placement.choose(phase, first, service, workers, nowMs) != null) {
+      TaskState task, boolean first, String service, Collection<WorkerState> workers, long nowMs) {
+    if (placement.choose(task, first, service, workers, nowMs) != null) {
       return Reason.STARTING;
     }
-    return !first && placement.fitsOnKeptWorker(phase, service, workers, nowMs)
+    return !first && placement.fitsOnKeptWorker(task.phase, service, workers, nowMs)
         ? Reason.RESERVED
         : Reason.NO_ROOM;
   }
--- a/src/main/java/org/plantainloom/coordination/dispatch/PhaseState.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/PhaseState.java
@@ -134,8 +134,17 @@
 
   /** Returns whether any task is waiting for a worker. */
   boolean hasWaitingTask(long nowMs) {
+    return hasWaitingTask(nowMs, true);
+  }
+
+  /**
+   * Returns whether any task is waiting for a worker.
+   *
+   * @param failing whether tasks that keep failing count
+   */
+  boolean hasWaitingTask(long nowMs, boolean failing) {
     for (TaskState task : tracked.values()) {
-      if (task.isWaiting(nowMs)) {
+      if (task.isWaiting(nowMs) && (failing || !task.keepsFailing())) {
         return true;
       }
     }
@@ -153,7 +162,8 @@
   }
 
   /**
-   * Returns tasks that are waiting for a worker; for a gang, all of its tasks or none.
+   * Returns tasks that are waiting for a worker, those that keep failing after the others; for a
+   * gang, all of its tasks or none.
    *
    * @param first whether those that {@link #goesFirst go first} are returned, or the others
    * @param limit how many are returned at the most, but for a gang
@@ -168,9 +178,15 @@
       boolean goesFirst = anyGoesFirst && gang.stream().anyMatch(this::goesFirst);
       return gang.size() == spec.count() && goesFirst == first ? gang : List.of();
     }
-    return waiting(nowMs, limit).stream()
-        .filter(task -> !anyGoesFirst || goesFirst(task) == first)
-        .toList();
+    List<TaskState> selected = new ArrayList<>();
+    List<TaskState> failing = new ArrayList<>();
+    for (TaskState task : waiting(nowMs, limit)) {
+      if (!anyGoesFirst || goesFirst(task) == first) {
+        (task.keepsFailing() ? failing : selected).add(task);
+      }
+    }
+    selected.addAll(failing);
+    return selected;
   }
 
   /** Returns the waiting tasks, of those that have never been started no more than a limit. */
--- a/src/main/java/org/plantainloom/coordination/dispatch/Placement.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/Placement.java
@@ -55,6 +55,9 @@
   /** Penalty for a lasting task on a worker that is kept for short ones; exceeds all others. */
   private static final int KEPT_WORKER_PENALTY = 1_000_000;
 
+  /** Penalty for the worker on which the task has failed last; exceeds all but the one above. */
+  private static final int FAILED_WORKER_PENALTY = 500_000;
+
   private static final long REJECTED = Long.MIN_VALUE;
 
   private final InterferenceModel interference;
@@ -71,21 +74,21 @@
   }
 
   /**
-   * Returns the best worker for one more task of the phase, or null if it fits on none.
+   * Returns the best worker for a task, or null if it fits on none.
    *
    * @param first whether the task goes before all others, and no worker is kept free of it
    */
   WorkerState choose(
-      PhaseState phase,
-      boolean first,
-      String service,
-      Collection<WorkerState> workers,
-      long nowMs) {
+      TaskState task, boolean first, String service, Collection<WorkerState> workers, long nowMs) {
+    PhaseState phase = task.phase;
     WorkerState best = null;
     long bestScore = REJECTED;
     for (WorkerState worker : workers) {
       if (worker.registration.service().equals(service) && admits(worker, phase, first, nowMs)) {
         long score = score(worker, phase, nowMs);
+        if (score != REJECTED && worker == task.lastFailedOn) {
+          score -= FAILED_WORKER_PENALTY;
+        }
         if (score > bestScore) {
           best = worker;
           bestScore = score;
--- a/src/main/java/org/plantainloom/coordination/dispatch/Run.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/Run.java
@@ -43,6 +43,9 @@
    */
   long recentMeasurement = -1;
 
+  /** Whether it was started although the task keeps failing. */
+  boolean ofFailingTask;
+
   boolean stopInFlight;
   long stopSentMs;
   long stopAnsweredMs = -1;
--- a/src/main/java/org/plantainloom/coordination/dispatch/RunLifecycle.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/RunLifecycle.java
@@ -10,13 +10,8 @@
 
 /** Applies the start, end or loss of a run to its task, its job and its worker. */
 final class RunLifecycle {
-  /** Delay before a failed task runs again, so that a broken worker is detected first. */
-  private static final long RETRY_DELAY_MS = 50;
-
-  /** Consecutive failures, of different jobs, after which a worker is suspended. */
-  private static final int FAILURES_BEFORE_SUSPENSION = 3;
-
   private final JobTable jobs;
+  private final FailureAttribution failures;
   private final DecisionLog log;
   private final long firstRunNumber;
   private final QueueConfigs queues;
@@ -32,8 +27,14 @@
    *
    * @param firstRunNumber smallest run number that this owner may assign
    */
-  RunLifecycle(JobTable jobs, DecisionLog log, long firstRunNumber, QueueConfigs queues) {
+  RunLifecycle(
+      JobTable jobs,
+      FailureAttribution failures,
+      DecisionLog log,
+      long firstRunNumber,
+      QueueConfigs queues) {
     this.jobs = jobs;
+    this.failures = failures;
     this.log = log;
     this.firstRunNumber = firstRunNumber;
     this.queues = queues;
@@ -108,7 +109,7 @@
       task.checkpoint = checkpoint;
     }
     log.logDecision("run-ended", run, "kind=" + outcome + " ranMs=" + (nowMs - run.startSentMs));
-    applyEnd(task, run.number, run.worker, outcome, nowMs);
+    applyEnd(task, run.number, run.worker, outcome, nowMs - run.startSentMs, nowMs);
   }
 
   /**
@@ -135,26 +136,27 @@
         "run-ended",
         task.key + "#" + number + "@" + worker.id(),
         "kind=" + outcome + " former=true");
-    applyEnd(task, number, worker, outcome, nowMs);
+    applyEnd(task, number, worker, outcome, 0, nowMs);
     task.phase.untrackIfOver(task);
   }
 
   private void applyEnd(
-      TaskState task, long number, WorkerState worker, RunOutcome outcome, long nowMs) {
+      TaskState task, long number, WorkerState worker, RunOutcome outcome, long ranMs, long nowMs) {
     JobState job = task.phase.job;
     if (outcome != RunOutcome.LOST) {
       markBegun(task);
     }
     switch (outcome) {
       case DONE -> {
-        worker.resetFailures();
+        failures.succeeded(task, worker, nowMs);
         if (!task.phase.spec.lasting()) {
           taskDone(task, nowMs);
         }
       }
       case FAILED -> {
         if (!task.isDone() && task.addFailure(number)) {
-          countFailure(worker, job, nowMs);
+          failures.failed(task, worker, ranMs, nowMs);
+          task.delayRetry(worker, ranMs, nowMs);
           taskFailed(task, nowMs);
         }
       }
@@ -188,7 +190,10 @@
 
   private void taskFailed(TaskState task, long nowMs) {
     JobState job = task.phase.job;
-    task.notBeforeMs = nowMs + RETRY_DELAY_MS;
+    // A task that lasts may fail without limit, so that its failures need not be stored.
+    if (task.phase.spec.lasting()) {
+      return;
+    }
     jobs.markChanged(job);
     failIfAttemptsExhausted(job, task, nowMs);
   }
@@ -215,17 +220,6 @@
     }
   }
 
-  private void countFailure(WorkerState worker, JobState job, long nowMs) {
-    if (!job.spec.id().equals(worker.lastFailedJob)) {
-      worker.consecutiveFailures++;
-      worker.lastFailedJob = job.spec.id();
-    }
-    if (worker.consecutiveFailures >= FAILURES_BEFORE_SUSPENSION) {
-      worker.suspend(nowMs);
-      log.logDecision("worker-suspended", worker.id(), "reason=failures job=" + job.spec.id());
-    }
-  }
-
   /** Ends a job before all its tasks are done and stops its runs. */
   void endJob(JobState job, JobStatus status, long nowMs) {
     jobs.finish(job, status, nowMs);
--- a/src/main/java/org/plantainloom/coordination/dispatch/TaskStarter.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/TaskStarter.java
@@ -19,6 +19,12 @@
    */
   static final int MAX_UNANSWERED_STARTS = 48;
 
+  /**
+   * Of these, how many may be of tasks that keep failing while others wait. A job whose tasks fail
+   * right after each start asks for starts without end.
+   */
+  static final int MAX_UNANSWERED_STARTS_OF_FAILING_TASKS = MAX_UNANSWERED_STARTS / 4;
+
   private static final long ROOM_SAMPLE_INTERVAL_MS = 100;
 
   /**
@@ -35,6 +41,11 @@
   private final LastingTaskWaits lastingTaskWaits;
   private final JobsFreshness jobsFreshness;
   private int unansweredStarts;
+  private int unansweredStartsOfFailingTasks;
+
+  /** Starts of tasks that keep failing which are allowed in this round. */
+  private int failingTasksLeft;
+
   private long roomSampledMs;
   private long jobsAgeMs;
   private final PhaseRanking ranking = new PhaseRanking(ClusterConfig.UNKNOWN);
@@ -96,6 +107,7 @@
     List<RankedPhase> ready = new ArrayList<>();
     double lastingCpuMillis = 0;
     int smallestWaitingCpuMillis = Integer.MAX_VALUE;
+    boolean othersWait = false;
     for (JobState job : open) {
       job.openDue(wallMs);
       for (PhaseState phase : job.lastingPhases()) {
@@ -113,10 +125,15 @@
         for (PhaseState phase : occurrence.phases) {
           if (phase.isReady(wallMs) && phase.hasWaitingTask(nowMs)) {
             addRanked(phase, ready, nowMs, wallMs);
+            othersWait = othersWait || phase.hasWaitingTask(nowMs, false);
           }
         }
       }
     }
+    failingTasksLeft =
+        othersWait
+            ? MAX_UNANSWERED_STARTS_OF_FAILING_TASKS - unansweredStartsOfFailingTasks
+            : MAX_UNANSWERED_STARTS;
     reserve.update(
         workers.stream().filter(worker -> placement.isUsable(worker, nowMs)).toList(),
         lastingCpuMillis,
@@ -177,8 +194,11 @@
   }
 
   /** Handles the answer to a start, or the loss of the answer. */
-  void startAnswered() {
+  void startAnswered(Run run) {
     unansweredStarts--;
+    if (run.ofFailingTask) {
+      unansweredStartsOfFailingTasks--;
+    }
   }
 
   private String serviceOf(PhaseState phase) {
@@ -207,7 +227,10 @@
       if (!phase.spec.gang() && unansweredStarts + started.size() >= MAX_UNANSWERED_STARTS) {
         break;
       }
-      WorkerState worker = noRoom ? null : placement.choose(phase, first, service, workers, nowMs);
+      if (!phase.spec.gang() && task.keepsFailing() && failingTasksLeft <= 0) {
+        continue;
+      }
+      WorkerState worker = noRoom ? null : placement.choose(task, first, service, workers, nowMs);
       if (worker == null) {
         if (!noRoom && (!phase.spec.gang() || started.isEmpty())) {
           failures.add(phase, first, service);
@@ -228,13 +251,20 @@
         reserve.lastingTaskStarted(worker);
       }
       long runNumber = phase.spec.gang() ? gangNumber : runs.nextNumber(task);
-      started.add(runs.begin(task, worker, runNumber, nowMs));
+      Run run = runs.begin(task, worker, runNumber, nowMs);
+      started.add(run);
+      if (task.keepsFailing()) {
+        run.ofFailingTask = true;
+        failingTasksLeft--;
+      }
     }
     if (phase.spec.gang() && started.size() < waiting.size()) {
       started.forEach(run -> runs.withdraw(run, "gang does not fit"));
       return;
     }
     unansweredStarts += started.size();
+    unansweredStartsOfFailingTasks +=
+        (int) started.stream().filter(run -> run.ofFailingTask).count();
     started.forEach(run -> commands.add(startCommand(run, takeover, nowMs)));
   }
 
--- a/src/main/java/org/plantainloom/coordination/dispatch/WorkerState.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/WorkerState.java
@@ -78,8 +78,11 @@
   /** False only if no run on this worker is to be stopped. */
   boolean mayHaveStoppingRuns;
 
-  int consecutiveFailures;
-  String lastFailedJob = "";
+  /** Jobs whose failures speak against this worker. */
+  final FailureWitnesses failureWitnesses = new FailureWitnesses();
+
+  /** End of the last suspension for failed runs; 0 if there was none. */
+  private long failuresSuspendedUntilMs;
 
   /** Number of fill images that disturb a serving task on this worker, as of the last poll. */
   int disturbingImages;
@@ -309,6 +312,7 @@
     suspendedUntilMs = 0;
     unknownRunUntilMs = 0;
     suspensionEndMs = 0;
+    failuresSuspendedUntilMs = 0;
     resetFailures();
     return over;
   }
@@ -320,7 +324,20 @@
 
   /** Suspends the worker, unless it is: of several starts sent at once, each may be refused. */
   void suspend(long nowMs) {
-    consecutiveFailures = 0;
+    failureWitnesses.forgetWitnesses();
+    failuresSuspendedUntilMs = 0;
+    extendSuspension(nowMs);
+  }
+
+  /** Suspends the worker for failed runs, whose jobs are remembered in case they are to blame. */
+  void suspendForFailures(long nowMs) {
+    if (nowMs >= suspensionEndMs) {
+      extendSuspension(nowMs);
+      failuresSuspendedUntilMs = suspensionEndMs;
+    }
+  }
+
+  private void extendSuspension(long nowMs) {
     if (nowMs < suspensionEndMs) {
       return;
     }
@@ -329,8 +346,29 @@
     nextSuspensionMs = Math.min(nextSuspensionMs * 2, MAX_SUSPENSION_MS);
   }
 
+  /** Handles a failed run: what was known before a suspension that is over counts no more. */
+  void failedAfterSuspension(long nowMs) {
+    if (failuresSuspendedUntilMs != 0 && failuresSuspendedUntilMs <= nowMs) {
+      failureWitnesses.forgetWitnesses();
+      failuresSuspendedUntilMs = 0;
+    }
+  }
+
+  /** Returns whether it is suspended for failed runs, and for nothing else. */
+  boolean isSuspendedForFailures(long nowMs) {
+    return nowMs < suspendedUntilMs && suspendedUntilMs == failuresSuspendedUntilMs;
+  }
+
+  /** Ends a suspension that turns out to be without cause. */
+  void endSuspension(long nowMs) {
+    suspendedUntilMs = nowMs;
+    suspensionEndMs = nowMs;
+    failuresSuspendedUntilMs = 0;
+    resetFailures();
+  }
+
   void resetFailures() {
-    consecutiveFailures = 0;
+    failureWitnesses.clear();
     nextSuspensionMs = INITIAL_SUSPENSION_MS;
   }
 }
--- a/src/test/java/org/plantainloom/coordination/dispatch/SimulatedWorker.java
+++ b/src/test/java/org/plantainloom/coordination/dispatch/SimulatedWorker.java
@@ -28,6 +28,7 @@
   /** Ends that are listed at a time. */
   static final int MAX_LISTED_ENDS = 500;
 
+  private static final long EARLY_FAILURE_MS = 50;
   private static final double BASELINE_TAIL_MS = 4;
   private static final double DEFAULT_MEAN_LOAD = 0.42;
   private static final double DEFAULT_LOAD_AMPLITUDE = 0.21;
@@ -59,6 +60,13 @@
   boolean stopsLate;
 
   boolean failing;
+
+  /** Whether each run fails right after its start, and not at its end. */
+  boolean failingEarly;
+
+  /** How long the runs of some jobs last until they fail, by job id. */
+  Map<String, Long> failAfterMs = Map.of();
+
   boolean stalled;
 
   /** Whether measurements are averaged and noisy, like those of the platform's workers. */
@@ -84,6 +92,7 @@
     final PhaseState phase;
     double remainingMs;
     final double durationMs;
+    long ranMs;
     int cpuLimitPercent = 100;
 
     /** Share of its processor time in use, as reported: averaged if measurements are noisy. */
@@ -200,7 +209,12 @@
         double pressure = pressure(run.phase, nowMs, disturbance);
         run.recentPressure += following * (pressure - run.recentPressure);
       }
-      if (!run.phase.spec.lasting() && !stalled) {
+      run.ranMs += stepMs;
+      long failsMs =
+          failingEarly ? EARLY_FAILURE_MS : failAfterMs.getOrDefault(task.jobId(), Long.MAX_VALUE);
+      if (run.ranMs >= failsMs) {
+        end(task, RunOutcome.FAILED);
+      } else if (!run.phase.spec.lasting() && !stalled) {
         run.remainingMs -= stepMs * run.cpuLimitPercent / 100.0;
         if (run.remainingMs <= 0) {
           end(task, failing ? RunOutcome.FAILED : RunOutcome.DONE);
