Refuse jobs that the owner cannot keep

Callers saw (LOST): jobs were accepted without regard to what the owner can hold, and then neither ran nor were known, as each owner in turn ran out of memory.

Cause: MAX_TASKS bounds one job, and nothing bounded the sum. Any node accepts jobs, but only the owner keeps them.

Its confirmations, which all nodes read, say how much is left, and a submission that needs more gets 503 with Retry-After at once. A repeated submission of an accepted job is answered as before, and 504 if the store does not tell whether it was. Accepted jobs are kept and run, also beyond the budget.

Evidence: JobRegistryTest.UsedUpBudget fails with the check taken out.

--- a/src/main/java/org/plantainloom/coordination/dispatch/Dispatcher.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/Dispatcher.java
@@ -440,6 +440,11 @@
     return Optional.ofNullable(jobs.job(jobId)).map(JobState::visibleStatus);
   }
 
+  /** Returns an estimate of the heap that the jobs need until they end, in bytes. */
+  public long estimatedJobBytes() {
+    return jobs.estimatedBytes();
+  }
+
   /** Returns the number of unfinished jobs. */
   public int openJobCount() {
     return jobs.openJobs().size();
--- a/src/main/java/org/plantainloom/coordination/dispatch/JobState.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/JobState.java
@@ -35,6 +35,9 @@
   final JobSpec spec;
   final long knownSinceMs;
 
+  /** How much of the heap the job needs until it ends, as estimated. */
+  final long footprintBytes;
+
   private final TreeMap<Integer, OccurrenceState> open = new TreeMap<>();
   private final BitSet doneOccurrences = new BitSet();
   private final List<String> imageKeys = new ArrayList<>();
@@ -68,6 +71,7 @@
   JobState(JobSpec spec, long nowMs) {
     this.spec = spec;
     this.knownSinceMs = nowMs;
+    this.footprintBytes = JobFootprint.ofOpen(spec);
     this.lasting = spec.phases().stream().anyMatch(PhaseSpec::lasting);
     this.criticalPathsMs = new long[spec.phases().size()];
     for (int phase = 0; phase < spec.phases().size(); phase++) {
--- a/src/main/java/org/plantainloom/coordination/dispatch/JobTable.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/JobTable.java
@@ -29,10 +29,13 @@
   /** When cancellations of jobs that are not stored became known; such a job never runs. */
   private final Map<String, Long> cancelledBeforeStored = new LinkedHashMap<>();
 
+  private long openBytes;
+
   JobState add(JobSpec spec, long nowMs) {
     JobState job = new JobState(spec, nowMs);
     jobs.put(spec.id(), job);
     open.put(spec.id(), job);
+    openBytes += job.footprintBytes;
     return job;
   }
 
@@ -40,6 +43,11 @@
     return jobs.get(id);
   }
 
+  /** Returns an estimate of the heap that the jobs need, in bytes. */
+  long estimatedBytes() {
+    return openBytes + (jobs.size() - open.size()) * JobFootprint.FINISHED_JOB_BYTES;
+  }
+
   /** Handles a stored job that cannot be restored. */
   void unreadable(String id) {
     unreadable.add(id);
@@ -104,7 +112,7 @@
   void finish(JobState job, JobStatus status, long nowMs) {
     job.status = status;
     job.finishedMs = nowMs;
-    open.remove(job.spec.id());
+    removeOpen(job);
     markChanged(job);
     job.finishedVersion = job.version;
   }
@@ -112,7 +120,13 @@
   /** Marks a restored job that was already finished. */
   void restoredAsFinished(JobState job, long nowMs) {
     job.finishedMs = nowMs;
-    open.remove(job.spec.id());
+    removeOpen(job);
+  }
+
+  private void removeOpen(JobState job) {
+    if (open.remove(job.spec.id()) != null) {
+      openBytes -= job.footprintBytes;
+    }
   }
 
   boolean hasDirty() {
--- a/src/main/java/org/plantainloom/platform/JobHttpService.java
+++ b/src/main/java/org/plantainloom/platform/JobHttpService.java
@@ -32,6 +32,9 @@
   /** A store that rejects requests usually accepts them again within this time, in seconds. */
   private static final int RETRY_AFTER_S = 1;
 
+  /** The same for a cluster that can keep no more jobs until some have ended, in seconds. */
+  private static final int OVERLOADED_RETRY_AFTER_S = 5;
+
   private final Node node;
   private final OwnerQueries ownerQueries;
 
@@ -147,6 +150,7 @@
       case DONE -> respond(HttpStatus.OK, body);
       case NO_SUCH_JOB -> respond(HttpStatus.GONE, "");
       case UNAVAILABLE -> unavailable();
+      case OVERLOADED -> unavailable(OVERLOADED_RETRY_AFTER_S);
       case UNKNOWN -> respond(HttpStatus.GATEWAY_TIMEOUT, "");
     };
   }
@@ -157,9 +161,13 @@
   }
 
   static CompletableFuture<HttpResponse> unavailable() {
+    return unavailable(RETRY_AFTER_S);
+  }
+
+  private static CompletableFuture<HttpResponse> unavailable(int retryAfterS) {
     ResponseHeaders headers =
         ResponseHeaders.of(
-            HttpStatus.SERVICE_UNAVAILABLE, HttpHeaderNames.RETRY_AFTER, RETRY_AFTER_S);
+            HttpStatus.SERVICE_UNAVAILABLE, HttpHeaderNames.RETRY_AFTER, retryAfterS);
     return CompletableFuture.completedFuture(HttpResponse.of(headers));
   }
 
--- a/src/main/java/org/plantainloom/transport/dispatch/JobRegistry.java
+++ b/src/main/java/org/plantainloom/transport/dispatch/JobRegistry.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import org.jboss.logging.Logger;
+import org.plantainloom.coordination.dispatch.JobBudget;
 import org.plantainloom.protocol.Json;
 import org.plantainloom.protocol.MalformedMessageException;
 import org.plantainloom.state.job.JobSpec;
@@ -27,10 +28,12 @@
   private static final int MAX_CANCEL_ATTEMPTS = 3;
 
   private final GuardedStore store;
+  private final Admission admission;
   private final MetricRegistry metrics;
   private final Timer submitTimer;
 
-  JobRegistry(TransactionalStore store, MetricRegistry metrics) {
+  JobRegistry(TransactionalStore store, MetricRegistry metrics, Admission admission) {
+    this.admission = admission;
     this.store = new GuardedStore(store);
     this.metrics = metrics;
     this.submitTimer = metrics.timer("jobs.submit");
@@ -51,6 +54,9 @@
    * cancelled before it was stored is not accepted any more.
    */
   CompletableFuture<JobReply> submit(JobSpec spec) {
+    if (!admission.admits(spec)) {
+      return refuseUnlessStored(spec);
+    }
     String key = StoreKeys.job(spec.id());
     Transaction transaction =
         Transaction.start()
@@ -64,6 +70,7 @@
             reply -> {
               timing.stop();
               if (reply instanceof CommitReply.Committed committed) {
+                admission.accepted(spec);
                 return succeed(spec.id(), "accepted", "revision=" + committed.revision());
               } else if (reply instanceof CommitReply.Conflict conflict) {
                 return replyByItems(spec, conflict.current(), "repeated=true");
@@ -75,6 +82,26 @@
             });
   }
 
+  /** Refuses a job, unless this repeats a submission that was accepted. */
+  private CompletableFuture<JobReply> refuseUnlessStored(JobSpec spec) {
+    return store
+        .list(StoreKeys.job(spec.id()))
+        .thenCompose(
+            read -> {
+              if (!(read instanceof ReadReply.Found found)) {
+                return fail(spec.id(), JobReply.UNKNOWN, "submit: " + read);
+              }
+              return JobItems.of(spec.id(), found.items()).job().isEmpty()
+                  ? fail(
+                      spec.id(),
+                      JobReply.OVERLOADED,
+                      "the owner has no room for its "
+                          + JobBudget.bytesNeeded(spec)
+                          + " bytes in its budget")
+                  : replyByItems(spec, found.items(), "repeated=true");
+            });
+  }
+
   /** Checks whether a write that got no reply has taken effect. */
   private CompletableFuture<JobReply> verifySubmission(JobSpec spec) {
     return store
--- a/src/main/java/org/plantainloom/transport/dispatch/Node.java
+++ b/src/main/java/org/plantainloom/transport/dispatch/Node.java
@@ -30,6 +30,7 @@
   private final OwnerElection election;
   private final JobRegistry jobs;
   private final DelayedActions delayedActions = new DelayedActions();
+  private final Admission admission = new Admission();
   private final List<PrefixWatch> watches = new ArrayList<>();
   private Optional<OwnerSession> session = Optional.empty();
   private volatile Optional<OwnerRecord> owner = Optional.empty();
@@ -49,10 +50,11 @@
     // The event loop may tick before the constructor has created the other parts.
     this.eventLoop = EventLoop.start("node", TICK_MS, () -> onTick.ifPresent(Runnable::run));
     this.clusterWatch = new ClusterWatch(context);
-    this.jobs = new JobRegistry(context.store(), context.metrics());
+    this.jobs = new JobRegistry(context.store(), context.metrics(), admission);
     registerGauges(context.metrics());
     this.election =
-        new OwnerElection(context, eventLoop, delayedActions, new SessionManager(context));
+        new OwnerElection(
+            context, eventLoop, delayedActions, admission, new SessionManager(context));
     eventLoop.execute(
         () -> {
           onTick = Optional.of(this::tick);
@@ -65,6 +67,7 @@
   private void registerGauges(MetricRegistry metrics) {
     metrics.gauge("loop.node.busy-ms", () -> eventLoop::busyMs);
     metrics.gauge("loop.node.longest-task-ms", () -> eventLoop::longestTaskMs);
+    metrics.gauge("jobs.budget-bytes-left", () -> admission::lastKnownBytesLeft);
   }
 
   /** Starts a node with its own event loop. */
@@ -90,7 +93,8 @@
                   election,
                   clusterWatch,
                   ownership,
-                  confirmations));
+                  confirmations,
+                  admission));
     }
 
     @Override
--- a/src/main/java/org/plantainloom/transport/dispatch/OwnerClockSampler.java
+++ b/src/main/java/org/plantainloom/transport/dispatch/OwnerClockSampler.java
@@ -6,7 +6,7 @@
 
 /**
  * Reads the confirmations of other owners again and again, so that this node knows their clocks if
- * it has to succeed them.
+ * it has to succeed them, and whether they can keep more jobs.
  */
 final class OwnerClockSampler {
   /**
@@ -18,13 +18,16 @@
   private final NodeContext node;
   private final EventLoop eventLoop;
   private final OwnerClocks clocks;
+  private final Admission admission;
   private boolean reading;
   private long lastReadMs = Long.MIN_VALUE / 2;
 
-  OwnerClockSampler(NodeContext node, EventLoop eventLoop, OwnerClocks clocks) {
+  OwnerClockSampler(
+      NodeContext node, EventLoop eventLoop, OwnerClocks clocks, Admission admission) {
     this.node = node;
     this.eventLoop = eventLoop;
     this.clocks = clocks;
+    this.admission = admission;
   }
 
   /** Reads the last confirmation if that is due. */
@@ -42,8 +45,13 @@
             found.items().stream()
                 .findFirst()
                 .flatMap(StoredConfirmation::parse)
-                .ifPresent(last -> clocks.sampled(last.time(), NodeContext.nowMs()));
+                .ifPresent(this::sampled);
           }
         });
   }
+
+  private void sampled(StoredConfirmation last) {
+    clocks.sampled(last.time(), NodeContext.nowMs());
+    admission.update(last.jobBytesLeft().orElse(Long.MAX_VALUE));
+  }
 }
--- a/src/main/java/org/plantainloom/transport/dispatch/OwnerElection.java
+++ b/src/main/java/org/plantainloom/transport/dispatch/OwnerElection.java
@@ -76,12 +76,13 @@
       NodeContext node,
       EventLoop eventLoop,
       PrefixWatch.DelayedExecutor delayedExecutor,
+      Admission admission,
       OwnershipListener listener) {
     this.node = node;
     this.eventLoop = eventLoop;
     this.delayedExecutor = delayedExecutor;
     this.listener = listener;
-    this.clockSampler = new OwnerClockSampler(node, eventLoop, clocks);
+    this.clockSampler = new OwnerClockSampler(node, eventLoop, clocks, admission);
   }
 
   /** Returns the current owner, as far as this node knows. */
--- a/src/main/java/org/plantainloom/transport/dispatch/OwnerSession.java
+++ b/src/main/java/org/plantainloom/transport/dispatch/OwnerSession.java
@@ -12,6 +12,7 @@
 import org.plantainloom.coordination.dispatch.DecisionLog;
 import org.plantainloom.coordination.dispatch.DispatchCommand;
 import org.plantainloom.coordination.dispatch.Dispatcher;
+import org.plantainloom.coordination.dispatch.JobBudget;
 import org.plantainloom.state.job.JobStatus;
 import org.plantainloom.state.job.PollReply;
 import org.plantainloom.state.job.WorkerRegistration;
@@ -42,6 +43,8 @@
   private final PrefixWatch.DelayedExecutor delayedExecutor;
   private final OwnerElection election;
   private final ClusterWatch clusterWatch;
+  private final Admission admission;
+  private final JobBudget jobBudget = JobBudget.ofHeap(Runtime.getRuntime().maxMemory());
   private final DecisionLog decisionLog;
   private final Ownership ownership;
   private final Dispatcher dispatcher;
@@ -72,8 +75,10 @@
       OwnerElection election,
       ClusterWatch clusterWatch,
       Ownership ownership,
-      OwnershipConfirmations confirmations) {
+      OwnershipConfirmations confirmations,
+      Admission admission) {
     this.node = node;
+    this.admission = admission;
     this.eventLoop = eventLoop;
     this.delayedExecutor = delayedExecutor;
     this.election = election;
@@ -115,6 +120,7 @@
     this.previousOwnersInquiry = ownership.previousOwners().map(this::inquire);
     ownership.lastConfirmation().ifPresent(dispatcher::previousOwnerConfirmed);
     confirmations.workerClocks(dispatcher::workerClocks);
+    confirmations.jobBytesLeft(this::jobBytesLeft);
     this.startCounter = node.metrics().counter("runs.ordered");
     this.startReplyTimer = node.metrics().timer("runs.start-answer");
     this.roundTimer = node.metrics().timer("decisions.round");
@@ -283,6 +289,7 @@
     if (dispatcher.areInheritedLeasesOver(now)) {
       previousOwnersInquiry.ifPresent(PreviousOwnersInquiry::close);
     }
+    admission.update(jobBytesLeft());
     dispatcher.configCurrent(clusterWatch.confirmIfOutdated());
     dispatcher.decide(now, NodeContext.wallMs()).forEach(order -> send(order, now));
     progressWriter.persist();
@@ -291,6 +298,13 @@
     }
   }
 
+  /** Until the jobs are read, what the owner before has said is the best that is known. */
+  private long jobBytesLeft() {
+    return loaded
+        ? jobBudget.bytesLeft(dispatcher.estimatedJobBytes())
+        : admission.lastKnownBytesLeft();
+  }
+
   private void send(DispatchCommand order, long sentMs) {
     if (order instanceof DispatchCommand.Start start) {
       startCounter.inc();
--- a/src/main/java/org/plantainloom/transport/dispatch/OwnershipConfirmations.java
+++ b/src/main/java/org/plantainloom/transport/dispatch/OwnershipConfirmations.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Consumer;
+import java.util.function.LongSupplier;
 import org.plantainloom.coordination.dispatch.OwnerClocks;
 import org.plantainloom.coordination.dispatch.OwnerTime;
 import org.plantainloom.coordination.dispatch.OwnershipLease;
@@ -43,6 +44,7 @@
   private final OwnerClocks clocks;
   private final Consumer<Optional<StoreItem>> keyChangedListener;
   private WorkerClockSource workerClocks = (nowMs, wallMs) -> List.of();
+  private LongSupplier jobBytesLeft = () -> Long.MAX_VALUE;
   private long storedRevision;
   private long lastSentMs;
   private int unanswered;
@@ -82,6 +84,11 @@
     workerClocks = source;
   }
 
+  /** Sets what tells how much memory is left for more jobs, which confirmations say then. */
+  void jobBytesLeft(LongSupplier source) {
+    jobBytesLeft = source;
+  }
+
   /** Returns whether the first confirmation was carried out. */
   boolean hasBegun() {
     return begun;
@@ -139,7 +146,7 @@
   private OwnerTime addTo(Transaction transaction, long nowMs, long wallMs) {
     OwnerTime sent = new OwnerTime(ownership.record().term(), nowMs, wallMs);
     StoredConfirmation confirmation =
-        StoredConfirmation.of(sent, workerClocks.readings(nowMs, wallMs));
+        StoredConfirmation.of(sent, workerClocks.readings(nowMs, wallMs), jobBytesLeft.getAsLong());
     transaction
         .expect(StoreKeys.CONFIRMED, storedRevision)
         .write(StoreKeys.CONFIRMED, Json.write(confirmation));
--- a/src/main/java/org/plantainloom/transport/dispatch/StoredConfirmation.java
+++ b/src/main/java/org/plantainloom/transport/dispatch/StoredConfirmation.java
@@ -19,24 +19,36 @@
  *     release whose claims count as confirmations, too
  * @param claimedTerm the term of the last owner whose claim has followed; 0 if none has. Such an
  *     owner has not acted: its first confirmation replaces this one
+ * @param jobBytesLeft how much of its memory the owner has left for more jobs; absent if written by
+ *     a release that accepts jobs without regard to that
  */
 record StoredConfirmation(
     long term,
     long monotonicMs,
     long wallMs,
     Optional<List<WorkerClockReading>> workerClocks,
-    @JsonInclude(JsonInclude.Include.NON_DEFAULT) long claimedTerm) {
+    @JsonInclude(JsonInclude.Include.NON_DEFAULT) long claimedTerm,
+    Optional<Long> jobBytesLeft) {
 
   StoredConfirmation {
     if (workerClocks == null) {
       workerClocks = Optional.empty();
     }
+    if (jobBytesLeft == null) {
+      jobBytesLeft = Optional.empty();
+    }
   }
 
   /** Creates a confirmation of an owner. */
-  static StoredConfirmation of(OwnerTime time, List<WorkerClockReading> workerClocks) {
+  static StoredConfirmation of(
+      OwnerTime time, List<WorkerClockReading> workerClocks, long jobBytesLeft) {
     return new StoredConfirmation(
-        time.term(), time.monotonicMs(), time.wallMs(), Optional.of(workerClocks), 0);
+        time.term(),
+        time.monotonicMs(),
+        time.wallMs(),
+        Optional.of(workerClocks),
+        0,
+        Optional.of(jobBytesLeft));
   }
 
   /** Returns the confirmation; empty if no owner can have written the item. */
@@ -78,6 +90,6 @@
 
   /** Returns this confirmation as it is stored by the claim of a later owner. */
   StoredConfirmation claimedBy(long newTerm) {
-    return new StoredConfirmation(term, monotonicMs, wallMs, workerClocks, newTerm);
+    return new StoredConfirmation(term, monotonicMs, wallMs, workerClocks, newTerm, jobBytesLeft);
   }
 }
--- a/src/test/java/org/plantainloom/transport/dispatch/JobRegistryTest.java
+++ b/src/test/java/org/plantainloom/transport/dispatch/JobRegistryTest.java
@@ -9,6 +9,7 @@
 import java.util.Queue;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
+import org.plantainloom.coordination.dispatch.JobBudget;
 import org.plantainloom.state.ResourceVector;
 import org.plantainloom.state.job.JobSpec;
 import org.plantainloom.state.job.PhaseSpec;
@@ -60,12 +61,12 @@
     @BeforeMethod
     public void start() {
       store = new LateStore();
-      jobs = new JobRegistry(store, new MetricRegistry());
+      jobs = new JobRegistry(store, new MetricRegistry(), new Admission());
     }
 
     /** Returns another node, which does not wait for a reply from the store. */
     private JobRegistry otherNode() {
-      return new JobRegistry(store, new MetricRegistry());
+      return new JobRegistry(store, new MetricRegistry(), new Admission());
     }
 
     /** Regression (UNASKED): the job ran seconds after its cancelling was answered with 410. */
@@ -148,7 +149,7 @@
     @BeforeMethod
     public void start() {
       store = new LateStore();
-      jobs = new JobRegistry(store, new MetricRegistry());
+      jobs = new JobRegistry(store, new MetricRegistry(), new Admission());
     }
 
     @Test
@@ -188,6 +189,7 @@
     private final List<Transaction> delayed = new ArrayList<>();
     private final Queue<Runnable> beforeCommits = new ArrayDeque<>();
     private boolean delaying;
+    private boolean unavailable;
 
     void delayNext() {
       delaying = true;
@@ -249,10 +251,68 @@
 
     @Override
     public CompletableFuture<ReadReply> list(String prefix) {
+      if (unavailable) {
+        return CompletableFuture.completedFuture(new ReadReply.Unavailable("expected by the test"));
+      }
       return CompletableFuture.completedFuture(
           new ReadReply.Found(
               items.values().stream().filter(item -> item.key().startsWith(prefix)).toList(),
               revision));
     }
   }
+
+  /** Submissions while the owner has no room for more jobs. */
+  public static class UsedUpBudget {
+    private LateStore store;
+    private Admission admission;
+    private JobRegistry jobs;
+
+    /** Starts with an empty store. */
+    @BeforeMethod
+    public void start() {
+      store = new LateStore();
+      admission = new Admission();
+      jobs = new JobRegistry(store, new MetricRegistry(), admission);
+    }
+
+    /** Regression (LOST): jobs were accepted until the owner's heap was full. */
+    @Test
+    public void should_refuse_a_job_at_once_that_the_owner_cannot_keep() {
+      // given
+      admission.update(0);
+      // then
+      assertThat(jobs.submit(JOB).join()).isEqualTo(JobReply.OVERLOADED);
+      assertThat(store.items).isEmpty();
+    }
+
+    @Test
+    public void should_accept_a_job_again_that_was_accepted_before() {
+      // given
+      assertThat(jobs.submit(JOB).join()).isEqualTo(JobReply.DONE);
+      admission.update(0);
+      // then
+      assertThat(jobs.submit(JOB).join()).isEqualTo(JobReply.DONE);
+    }
+
+    @Test
+    public void should_not_say_that_a_job_never_runs_while_the_store_does_not_tell() {
+      // given
+      admission.update(0);
+      store.unavailable = true;
+      // then
+      assertThat(jobs.submit(JOB).join()).isEqualTo(JobReply.UNKNOWN);
+    }
+
+    @Test
+    public void should_refuse_what_exceeds_the_rest_of_the_budget() {
+      // given: room for one job
+      admission.update(JobBudget.bytesNeeded(JOB));
+      // then
+      assertThat(admission.admits(JOB)).isTrue();
+      admission.accepted(JOB);
+      assertThat(admission.admits(JOB)).isFalse();
+      admission.update(JobBudget.bytesNeeded(JOB));
+      assertThat(admission.admits(JOB)).isTrue();
+    }
+  }
 }
--- a/src/test/java/org/plantainloom/transport/dispatch/OwnershipConfirmationsTest.java
+++ b/src/test/java/org/plantainloom/transport/dispatch/OwnershipConfirmationsTest.java
@@ -108,7 +108,9 @@
   private static StoreItem confirmed(long term, long afterClaimMs, long revision) {
     OwnerTime time = new OwnerTime(term, CLAIM_MS + afterClaimMs, WALL_MS + afterClaimMs);
     return new StoreItem(
-        StoreKeys.CONFIRMED, Json.write(StoredConfirmation.of(time, List.of())), revision);
+        StoreKeys.CONFIRMED,
+        Json.write(StoredConfirmation.of(time, List.of(), Long.MAX_VALUE)),
+        revision);
   }
 
   @Test
--- a/src/test/java/org/plantainloom/transport/dispatch/OwnershipTest.java
+++ b/src/test/java/org/plantainloom/transport/dispatch/OwnershipTest.java
@@ -33,12 +33,12 @@
   }
 
   private static StoredConfirmation confirmation(long term) {
-    return StoredConfirmation.of(time(term), List.of());
+    return StoredConfirmation.of(time(term), List.of(), 1_000);
   }
 
   private static StoredConfirmation clockOf(String workerId, long startedAtMs) {
     return StoredConfirmation.of(
-        time(TERM - 1), List.of(new WorkerClockReading(workerId, startedAtMs, 1)));
+        time(TERM - 1), List.of(new WorkerClockReading(workerId, startedAtMs, 1)), 1_000);
   }
 
   private static Ownership after(Optional<StoredConfirmation> lastConfirmation) {
