Keep only the status of finished jobs, and remove them as fast as they finish

Cause: a finished job kept its whole state until it was removed from the store, and at most two jobs a second were removed, and none while progress waited to be written.

Removals follow one another every 150 ms while more are left, 67 jobs a second, and take turns with progress.

--- a/src/main/java/org/plantainloom/coordination/dispatch/Dispatcher.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/Dispatcher.java
@@ -107,11 +107,11 @@
 
   /** Restores a job that was accepted before this ownership began. */
   public void restoreJob(JobSpec spec, JobProgress progress, long revision, long nowMs) {
-    JobState job = jobs.add(spec, nowMs);
     reserve.jobAccepted(spec);
-    job.restore(progress, revision);
-    if (job.isFinished()) {
-      jobs.restoredAsFinished(job, nowMs);
+    if (progress.status().isFinal()) {
+      jobs.addFinished(spec.id(), progress.status(), nowMs);
+    } else {
+      jobs.add(spec, nowMs).restore(progress, revision);
     }
   }
 
@@ -132,7 +132,7 @@
 
   /** Handles a newly accepted job. */
   public void jobSubmitted(JobSpec spec, long nowMs) {
-    if (jobs.job(spec.id()) == null && !jobs.isRetired(spec.id())) {
+    if (!jobs.isKnown(spec.id()) && !jobs.isRetired(spec.id())) {
       JobState job = jobs.add(spec, nowMs);
       // A previous owner that still acts reads new jobs, too, and may start them first.
       job.submittedDuringTakeover = !takeover.haveKnownWorkersAnswered();
@@ -437,7 +437,7 @@
 
   /** Returns the status that callers may be told; empty if the job is unknown. */
   public Optional<JobStatus> visibleStatus(String jobId) {
-    return Optional.ofNullable(jobs.job(jobId)).map(JobState::visibleStatus);
+    return jobs.visibleStatus(jobId);
   }
 
   /** Returns an estimate of the heap that the jobs need until they end, in bytes. */
--- a/src/main/java/org/plantainloom/coordination/dispatch/JobTable.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/JobTable.java
@@ -4,10 +4,12 @@
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import org.plantainloom.state.job.ActiveRun;
 import org.plantainloom.state.job.EndedRun;
@@ -16,9 +18,13 @@
 import org.plantainloom.state.job.TaskKey;
 import org.plantainloom.state.job.WorkerSnapshot;
 
-/** All jobs, with an index of the unfinished ones and of those with unpersisted progress. */
+/**
+ * All jobs, with an index of the unfinished ones and of those with unpersisted progress. Of a
+ * finished job, little is kept once its end is stored and nothing of it runs.
+ */
 final class JobTable {
   private final Map<String, JobState> jobs = new HashMap<>();
+  private final Map<String, FinishedJob> finished = new HashMap<>();
   private final Map<String, JobState> open = new LinkedHashMap<>();
   private final Set<JobState> dirty = new LinkedHashSet<>();
   private final RetiredJobs retired = new RetiredJobs();
@@ -29,6 +35,9 @@
   /** When cancellations of jobs that are not stored became known; such a job never runs. */
   private final Map<String, Long> cancelledBeforeStored = new LinkedHashMap<>();
 
+  /** Finished jobs of which something may run, or whose end is not stored. */
+  private final Set<JobState> ending = new LinkedHashSet<>();
+
   private long openBytes;
 
   JobState add(JobSpec spec, long nowMs) {
@@ -39,13 +48,32 @@
     return job;
   }
 
+  /** Adds a job that had finished before this ownership began. */
+  void addFinished(String id, JobStatus status, long nowMs) {
+    finished.put(id, new FinishedJob(status, nowMs));
+  }
+
+  /** Returns a job; null if it is unknown, or finished and nothing of it runs. */
   JobState job(String id) {
     return jobs.get(id);
   }
 
+  /** Returns whether a job is known, finished or not. */
+  boolean isKnown(String id) {
+    return jobs.containsKey(id) || finished.containsKey(id);
+  }
+
+  /** Returns the status that callers may see; empty if the job is unknown. */
+  Optional<JobStatus> visibleStatus(String id) {
+    JobState job = jobs.get(id);
+    return job != null
+        ? Optional.of(job.visibleStatus())
+        : Optional.ofNullable(finished.get(id)).map(FinishedJob::status);
+  }
+
   /** Returns an estimate of the heap that the jobs need, in bytes. */
   long estimatedBytes() {
-    return openBytes + (jobs.size() - open.size()) * JobFootprint.FINISHED_JOB_BYTES;
+    return openBytes + (ending.size() + finished.size()) * JobFootprint.FINISHED_JOB_BYTES;
   }
 
   /** Handles a stored job that cannot be restored. */
@@ -55,7 +83,7 @@
 
   /** Handles the cancellation of a job that is not known. */
   void cancelledBeforeStored(String id, long nowMs) {
-    if (!retired.contains(id) && !unreadable.contains(id)) {
+    if (!finished.containsKey(id) && !retired.contains(id) && !unreadable.contains(id)) {
       cancelledBeforeStored.putIfAbsent(id, nowMs);
     }
   }
@@ -68,7 +96,7 @@
   /** Returns whether a job may be stored without being known here yet. */
   private boolean mayBecomeKnown(TaskKey task) {
     String id = task.jobId();
-    return !jobs.containsKey(id) && !retired.contains(id) && !unreadable.contains(id);
+    return !isKnown(id) && !retired.contains(id) && !unreadable.contains(id);
   }
 
   /**
@@ -112,20 +140,23 @@
   void finish(JobState job, JobStatus status, long nowMs) {
     job.status = status;
     job.finishedMs = nowMs;
-    removeOpen(job);
+    if (open.remove(job.spec.id()) != null) {
+      openBytes -= job.footprintBytes;
+    }
+    ending.add(job);
     markChanged(job);
     job.finishedVersion = job.version;
   }
 
-  /** Marks a restored job that was already finished. */
-  void restoredAsFinished(JobState job, long nowMs) {
-    job.finishedMs = nowMs;
-    removeOpen(job);
-  }
-
-  private void removeOpen(JobState job) {
-    if (open.remove(job.spec.id()) != null) {
-      openBytes -= job.footprintBytes;
+  /** Keeps only the status of finished jobs whose end is stored and of which nothing runs. */
+  private void releaseEnded() {
+    for (Iterator<JobState> it = ending.iterator(); it.hasNext(); ) {
+      JobState job = it.next();
+      if (!job.isDirty() && job.openOccurrences().isEmpty()) {
+        it.remove();
+        jobs.remove(job.spec.id());
+        finished.put(job.spec.id(), new FinishedJob(job.status, job.finishedMs));
+      }
     }
   }
 
@@ -156,6 +187,7 @@
     if (!job.isDirty()) {
       dirty.remove(job);
     }
+    releaseEnded();
   }
 
   /** Sets the stored revision of a job's progress after a write conflict. */
@@ -179,16 +211,15 @@
             ids.add(id);
           }
         });
-    for (JobState job : jobs.values()) {
-      if (ids.size() < limit
-          && job.isFinished()
-          && !job.isDirty()
-          && job.finishedMs < finishedBeforeMs) {
-        ids.add(job.spec.id());
-      }
-    }
+    releaseEnded();
+    finished.forEach(
+        (id, job) -> {
+          if (ids.size() < limit && job.finishedMs() < finishedBeforeMs) {
+            ids.add(id);
+          }
+        });
     for (String id : ids) {
-      if (jobs.remove(id) != null || takeCancellation(id)) {
+      if (finished.remove(id) != null || takeCancellation(id)) {
         retired.add(id);
       }
     }
--- a/src/main/java/org/plantainloom/transport/dispatch/ProgressWriter.java
+++ b/src/main/java/org/plantainloom/transport/dispatch/ProgressWriter.java
@@ -2,7 +2,6 @@
 
 import com.codahale.metrics.Counter;
 import java.util.List;
-import java.util.Optional;
 import org.jboss.logging.Logger;
 import org.plantainloom.coordination.dispatch.Dispatcher;
 import org.plantainloom.coordination.dispatch.FleetMember;
@@ -31,6 +30,9 @@
 
   private static final long REMOVAL_INTERVAL_MS = 5_000;
 
+  /** The same while more are left, so that they are removed as fast as jobs finish. */
+  private static final long BUSY_REMOVAL_INTERVAL_MS = 150;
+
   /** Removing a job takes three entries of a transaction. */
   private static final int MAX_REMOVED_JOBS_PER_COMMIT = 10;
 
@@ -52,7 +54,7 @@
   private boolean ownersSettled;
   private boolean busy;
   private boolean closed;
-  private long lastRemovalMs = NodeContext.nowMs();
+  private long nextRemovalMs = NodeContext.nowMs() + REMOVAL_INTERVAL_MS;
 
   /**
    * Creates a writer.
@@ -97,12 +99,11 @@
       persistSettledOwners();
       return;
     }
-    Optional<ProgressBatch> batch = dispatcher.unpersistedProgress();
-    if (batch.isPresent()) {
-      persistProgress(batch.get());
-    } else if (NodeContext.nowMs() - lastRemovalMs > REMOVAL_INTERVAL_MS) {
-      removeFinishedJobs();
+    // Progress is written between two removals, but must not hold them up under steady load.
+    if (NodeContext.nowMs() >= nextRemovalMs && removeFinishedJobs()) {
+      return;
     }
+    dispatcher.unpersistedProgress().ifPresent(this::persistProgress);
   }
 
   /**
@@ -216,13 +217,15 @@
         current -> {});
   }
 
-  private void removeFinishedJobs() {
+  /** Removes finished jobs whose time is over from the store; returns whether there are any. */
+  private boolean removeFinishedJobs() {
     long now = NodeContext.nowMs();
-    lastRemovalMs = now;
     List<String> jobs =
         dispatcher.retireJobs(now - FINISHED_JOB_RETENTION_MS, MAX_REMOVED_JOBS_PER_COMMIT);
+    boolean moreLeft = jobs.size() == MAX_REMOVED_JOBS_PER_COMMIT;
+    nextRemovalMs = now + (moreLeft ? BUSY_REMOVAL_INTERVAL_MS : REMOVAL_INTERVAL_MS);
     if (jobs.isEmpty()) {
-      return;
+      return false;
     }
     Transaction transaction = ownerTransaction();
     for (String id : jobs) {
@@ -237,6 +240,7 @@
           LOG.infof("event=jobs-retired count=%d", jobs.size());
         },
         current -> {});
+    return true;
   }
 
   /** Learns how far the list of workers is stored. */
--- a/src/test/java/org/plantainloom/coordination/dispatch/JobFootprintTest.java
+++ b/src/test/java/org/plantainloom/coordination/dispatch/JobFootprintTest.java
@@ -6,10 +6,13 @@
 import static org.plantainloom.coordination.dispatch.DispatcherSimulation.tasks;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.function.IntFunction;
 import org.plantainloom.protocol.Json;
 import org.plantainloom.state.job.JobSpec;
+import org.plantainloom.state.job.JobStatus;
 import org.plantainloom.state.job.TaskKey;
 import org.plantainloom.state.job.WorkerRegistration;
 import org.testng.annotations.Test;
@@ -107,4 +110,14 @@
             });
     assertCovered("a job of 1,000 lasting tasks", retained, JobFootprint.ofOpen(job));
   }
+
+  @Test
+  public void should_cover_finished_jobs() {
+    Map<String, FinishedJob> finished = new HashMap<>();
+    long retained =
+        retainedBytes(
+            50_000,
+            i -> finished.put(id(i), new FinishedJob(JobStatus.COMPLETED, i)) == null ? "" : "x");
+    assertCovered("a finished job", retained, JobFootprint.FINISHED_JOB_BYTES);
+  }
 }
