End a process that cannot go on, with one line that says why

Cause: EventLoop caught the OutOfMemoryError and went on, with what was left of its state, and the ticks went on renewing the ownership.

Now a node whose event loop finds no memory stops its ticks, frees the owner's state, gives up the ownership and ends the process: "event=process-ended node= reason=".

--- a/src/main/java/org/plantainloom/program/node/NodeProcess.java
+++ b/src/main/java/org/plantainloom/program/node/NodeProcess.java
@@ -64,6 +64,7 @@
     this.settings = settings;
     this.client = new PlatformHttpClient();
     MetricRegistry metrics = new MetricRegistry();
+    LastResort lastResort = LastResort.start(settings.name());
     this.node =
         Node.start(
             new NodeContext(
@@ -76,7 +77,20 @@
                 new PlatformCodec(),
                 DispatchPolicy.of(settings.maxLeaseMs(), settings.stopGraceMs()),
                 metrics,
-                startedMs));
+                startedMs),
+            lastResort::end);
+    lastResort.watch(
+        new LastResort.Source() {
+          @Override
+          public long tickCount() {
+            return node.tickCount();
+          }
+
+          @Override
+          public void giveUp() {
+            GracefulShutdown.of(settings.name()).step("resign ownership", resign()).run();
+          }
+        });
     this.server = server(metrics);
     server.start().join();
     LOG.infof("event=started node=%s callers=%s", settings.name(), settings.callerAddress());
@@ -162,7 +176,7 @@
     long stopRequestedMs = System.nanoTime() / 1_000_000;
     GracefulShutdown.of(settings.name())
         .step("persist progress", this::awaitProgressPersisted)
-        .step("resign ownership", () -> node.resign().get(RESIGN_TIMEOUT_MS, TimeUnit.MILLISECONDS))
+        .step("resign ownership", resign())
         .step("leave the load balancer", () -> Thread.sleep(BALANCER_REMOVAL_MS))
         .step("finish requests", () -> finishRequests(stopRequestedMs))
         .run();
@@ -172,6 +186,10 @@
         .run();
   }
 
+  private GracefulShutdown.Action resign() {
+    return () -> node.resign().get(RESIGN_TIMEOUT_MS, TimeUnit.MILLISECONDS);
+  }
+
   private void awaitProgressPersisted() throws Exception {
     for (long waited = 0; waited < PERSIST_TIMEOUT_MS; waited += PERSIST_POLL_MS) {
       if (node.isProgressPersisted().get(PERSIST_TIMEOUT_MS, TimeUnit.MILLISECONDS)) {
--- a/src/main/java/org/plantainloom/transport/dispatch/Node.java
+++ b/src/main/java/org/plantainloom/transport/dispatch/Node.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
 import org.jboss.logging.Logger;
 import org.plantainloom.state.job.ClusterConfig;
 import org.plantainloom.state.job.JobSpec;
@@ -44,11 +45,19 @@
   /** When this node last stopped being an owner, or started. */
   private long notOwnerSinceMs;
 
-  private Node(NodeContext context) {
+  private final Consumer<String> endListener;
+
+  private Node(NodeContext context, Consumer<String> endListener) {
+    this.endListener = endListener;
     this.name = context.name();
     this.notOwnerSinceMs = context.startedMs();
     // The event loop may tick before the constructor has created the other parts.
-    this.eventLoop = EventLoop.start("node", TICK_MS, () -> onTick.ifPresent(Runnable::run));
+    this.eventLoop =
+        EventLoop.start(
+            "node",
+            TICK_MS,
+            () -> onTick.ifPresent(Runnable::run),
+            error -> cannotGoOn("out of memory"));
     this.clusterWatch = new ClusterWatch(context);
     this.jobs = new JobRegistry(context.store(), context.metrics(), admission);
     registerGauges(context.metrics());
@@ -72,7 +81,35 @@
 
   /** Starts a node with its own event loop. */
   public static Node start(NodeContext context) {
-    return new Node(context);
+    return start(context, reason -> LOG.errorf("event=cannot-go-on reason=%s", reason));
+  }
+
+  /**
+   * Starts a node with its own event loop.
+   *
+   * @param endListener receives the reason when the node cannot go on and has given up the
+   *     ownership; it should end the process, which is of no use any more
+   */
+  public static Node start(NodeContext context, Consumer<String> endListener) {
+    return new Node(context, endListener);
+  }
+
+  /** Gives up the ownership for good, as the state of this node may be incomplete. */
+  private void cannotGoOn(String reason) {
+    try {
+      // Without ticks no lease is renewed, should what follows find no memory.
+      onTick = Optional.empty();
+      session.ifPresent(OwnerSession::close);
+      session = Optional.empty();
+      election.resign();
+    } finally {
+      endListener.accept(reason);
+    }
+  }
+
+  /** Returns a number that changes while the event loop turns. */
+  public long tickCount() {
+    return eventLoop.tickCount();
   }
 
   private final class SessionManager implements OwnershipListener {
--- a/src/main/java/org/plantainloom/transport/duty/EventLoop.java
+++ b/src/main/java/org/plantainloom/transport/duty/EventLoop.java
@@ -6,6 +6,7 @@
 import com.lmax.disruptor.dsl.Disruptor;
 import com.lmax.disruptor.dsl.ProducerType;
 import java.util.ArrayDeque;
+import java.util.Optional;
 import java.util.Queue;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
@@ -37,6 +38,7 @@
   private final long tickMs;
   private final Runnable tick;
   private final LongSupplier clockNanos;
+  private final Optional<Consumer<OutOfMemoryError>> outOfMemoryHandler;
   private final Disruptor<Slot> disruptor;
   private final Queue<Runnable> localTasks = new ArrayDeque<>();
   private volatile Thread thread;
@@ -46,12 +48,19 @@
   private volatile long busyNanos;
 
   private volatile long longestTaskNanos;
+  private volatile long tickCount;
 
   private static final class Slot {
     private Runnable task;
   }
 
-  private EventLoop(String name, long tickMs, Runnable tick, LongSupplier clockNanos) {
+  private EventLoop(
+      String name,
+      long tickMs,
+      Runnable tick,
+      LongSupplier clockNanos,
+      Optional<Consumer<OutOfMemoryError>> outOfMemoryHandler) {
+    this.outOfMemoryHandler = outOfMemoryHandler;
     this.clockNanos = clockNanos;
     this.lastTickNanos = clockNanos.getAsLong();
     this.name = name;
@@ -74,12 +83,32 @@
    * @param tick run on the loop's thread at each interval
    */
   public static EventLoop start(String name, long tickMs, Runnable tick) {
-    return start(name, tickMs, tick, System::nanoTime);
+    return start(name, tickMs, tick, System::nanoTime, Optional.empty());
+  }
+
+  /**
+   * Starts an event loop whose state may be incomplete once the heap has been full.
+   *
+   * @param outOfMemoryHandler runs on the loop's thread, in place of the rest of a task that found
+   *     no memory; has to expect that it finds none either
+   */
+  public static EventLoop start(
+      String name, long tickMs, Runnable tick, Consumer<OutOfMemoryError> outOfMemoryHandler) {
+    return start(name, tickMs, tick, System::nanoTime, Optional.of(outOfMemoryHandler));
   }
 
   /** Starts an event loop with another clock than the system's. */
   static EventLoop start(String name, long tickMs, Runnable tick, LongSupplier clockNanos) {
-    EventLoop loop = new EventLoop(name, tickMs, tick, clockNanos);
+    return start(name, tickMs, tick, clockNanos, Optional.empty());
+  }
+
+  private static EventLoop start(
+      String name,
+      long tickMs,
+      Runnable tick,
+      LongSupplier clockNanos,
+      Optional<Consumer<OutOfMemoryError>> outOfMemoryHandler) {
+    EventLoop loop = new EventLoop(name, tickMs, tick, clockNanos, outOfMemoryHandler);
     loop.disruptor.handleEventsWith(loop.new Handler());
     loop.disruptor.start();
     return loop;
@@ -132,12 +161,22 @@
     long startedNanos = clockNanos.getAsLong();
     try {
       task.run();
+    } catch (OutOfMemoryError e) {
+      handleOutOfMemory(e);
     } catch (RuntimeException | Error e) {
       LOG.errorf(e, "event loop %s: a task failed, the loop goes on", name);
     }
     recordTask(clockNanos.getAsLong() - startedNanos);
   }
 
+  private void handleOutOfMemory(OutOfMemoryError error) {
+    if (outOfMemoryHandler.isPresent()) {
+      outOfMemoryHandler.get().accept(error);
+    } else {
+      LOG.errorf(error, "event loop %s: a task found no memory, the loop goes on", name);
+    }
+  }
+
   @SuppressWarnings("NonAtomicVolatileUpdate") // one thread writes
   private void recordTask(long nanos) {
     busyNanos += nanos;
@@ -163,15 +202,26 @@
     }
   }
 
+  /** Returns a number that changes with each tick. */
+  public long tickCount() {
+    return tickCount;
+  }
+
   private void tickIfDue() {
     long nanos = clockNanos.getAsLong();
     if (nanos - lastTickNanos >= TimeUnit.MILLISECONDS.toNanos(tickMs)) {
       lastTickNanos = nanos;
+      countTick();
       run(tick);
       runLocalTasks();
     }
   }
 
+  @SuppressWarnings("NonAtomicVolatileUpdate") // one thread writes
+  private void countTick() {
+    tickCount++;
+  }
+
   private final class Handler implements EventHandler<Slot> {
     @Override
     public void onEvent(Slot slot, long sequence, boolean endOfBatch) {
--- a/src/test/java/org/plantainloom/transport/duty/EventLoopTest.java
+++ b/src/test/java/org/plantainloom/transport/duty/EventLoopTest.java
@@ -42,6 +42,21 @@
     }
   }
 
+  /** Regression (LOST, review/6): the loop went on with what a full heap had left of its state. */
+  @Test
+  public void should_hand_over_an_error_of_a_full_heap() throws Exception {
+    CompletableFuture<OutOfMemoryError> handled = new CompletableFuture<>();
+    try (EventLoop loop = EventLoop.start("test", 10, () -> {}, handled::complete)) {
+      // when
+      loop.execute(
+          () -> {
+            throw new OutOfMemoryError("expected by the test");
+          });
+      // then
+      assertThat(handled.get(AWAIT_TIMEOUT_S, TimeUnit.SECONDS)).hasMessageContaining("expected");
+    }
+  }
+
   @Test
   public void should_tick_before_the_first_task_after_a_pause_of_the_process() throws Exception {
     // given: ticks by time-out are further apart than the test lasts
