--- a/src/main/java/org/plantainloom/coordination/dispatch/Dispatcher.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/Dispatcher.java
@@ -37,12 +37,6 @@
   /** Delay before a worker that did not answer is polled again. */
   private static final long POLL_RETRY_DELAY_MS = 200;
 
-  /**
-   * Interval of the figures from which the model of interference learns where no tail latency is
-   * controlled; polls that follow faster repeat parts of the half second that they cover.
-   */
-  private static final long OBSERVATION_INTERVAL_MS = 1_000;
-
   /** Delay of a poll while ended runs wait to be persisted; an earlier poll would repeat them. */
   private static final long UNPERSISTED_ENDS_POLL_DELAY_MS = 400;
 
@@ -361,10 +355,7 @@
       if (snapshot.listsAllEnds()) {
         workers.releasePossibleTasks(worker, Evidence.NOT_LISTED, sentMs);
       }
-      if (TailLatencyController.appliesTo(worker) || nowMs >= worker.nextObservationMs) {
-        pendingCommands.addAll(latencyController.adjustCpuLimits(worker, nowMs));
-        worker.nextObservationMs = nowMs + OBSERVATION_INTERVAL_MS;
-      }
+      pendingCommands.addAll(latencyController.adjustCpuLimitsIfDue(worker, nowMs));
       worker.nextPollMs = nowMs + UNPERSISTED_ENDS_POLL_DELAY_MS;
     } else if (reply instanceof PollReply.Fenced) {
       markFenced(worker.id());
--- a/src/main/java/org/plantainloom/coordination/dispatch/TailLatencyController.java
+++ b/src/main/java/org/plantainloom/coordination/dispatch/TailLatencyController.java
@@ -41,12 +41,29 @@
   /** Time at such a limit after which the fill task is stopped, to resume elsewhere. */
   private static final long MIGRATE_AFTER_MS = 900;
 
+  /**
+   * Interval of the figures from which the model of interference learns where no tail latency is
+   * controlled; polls that follow faster repeat parts of the half second that they cover.
+   */
+  private static final long OBSERVATION_INTERVAL_MS = 1_000;
+
   private final InterferenceModel interference;
 
   TailLatencyController(InterferenceModel interference) {
     this.interference = interference;
   }
 
+  /**
+   * Handles a fresh poll: returns the changes of CPU limits, unless it follows too fast to tell.
+   */
+  List<DispatchCommand> adjustCpuLimitsIfDue(WorkerState worker, long nowMs) {
+    if (!appliesTo(worker) && nowMs < worker.nextObservationMs) {
+      return List.of();
+    }
+    worker.nextObservationMs = nowMs + OBSERVATION_INTERVAL_MS;
+    return adjustCpuLimits(worker, nowMs);
+  }
+
   /** Updates the interference model from a fresh poll and returns the changes of CPU limits. */
   List<DispatchCommand> adjustCpuLimits(WorkerState worker, long nowMs) {
     interference.observe(worker, nowMs);
