--- a/src/test/java/org/plantainloom/coordination/dispatch/CrashLoopTest.java
+++ b/src/test/java/org/plantainloom/coordination/dispatch/CrashLoopTest.java
@@ -104,6 +104,27 @@
       assertThat(suspensions(simulation)).isEmpty();
     }
 
+    @Test
+    public void should_run_other_jobs_beside_short_jobs_that_always_fail() {
+      // given
+      DispatcherSimulation simulation = simulation();
+      Map<String, Long> failing = new HashMap<>();
+      simulation.workers.forEach(worker -> worker.failAfterMs = failing);
+      List<String> others = new ArrayList<>();
+      // when
+      for (int i = 0; i < 30; i++) {
+        String id = id(0xbad000 + i);
+        failing.put(id, FAILS_AFTER_MS);
+        simulation.submit(job(id, "urgent", tasks(2, 500)));
+        others.addAll(submitShort(simulation, 1).subList(0, 3));
+      }
+      simulation.run(3_000);
+      // then
+      assertThat(statuses(simulation, others)).containsOnly(JobStatus.COMPLETED);
+      assertThat(statuses(simulation, List.copyOf(failing.keySet())))
+          .containsOnly(JobStatus.FAILED);
+    }
+
     /** Regression (LOST): one job of 400 failing tasks took nearly all starts. */
     @Test
     public void should_bound_the_starts_of_one_job_whose_tasks_all_fail() {
@@ -197,6 +218,23 @@
       assertThat(simulation.startCount(TASK)).isEqualTo(2);
     }
 
+    @Test
+    public void should_start_a_task_at_once_that_fails_once_after_a_change_of_owner() {
+      // given
+      DispatcherSimulation simulation = serving(simulation());
+      JobSpec job = job(TASK.jobId(), "urgent", DispatcherSimulation.serving(1, 500, ""));
+      simulation.startOwner(2);
+      JobProgress progress = simulation.persistedProgress.get(job.id());
+      simulation.dispatcher.restoreJob(job, progress, 1, simulation.nowMs);
+      simulation.dispatcher.jobsRestored();
+      simulation.run(3_000);
+      // when
+      fail(simulation);
+      simulation.run(100);
+      // then
+      assertThat(simulation.startCount(TASK)).isEqualTo(2);
+    }
+
     @Test
     public void should_start_a_task_at_once_that_fails_after_a_sound_run() {
       // given
--- a/src/test/java/org/plantainloom/coordination/dispatch/ScheduledJobTest.java
+++ b/src/test/java/org/plantainloom/coordination/dispatch/ScheduledJobTest.java
@@ -73,6 +73,27 @@
       assertThat(AllocatedBytes.of(() -> simulation.run(10))).isLessThan(MAX_BYTES);
     }
 
+    @Test
+    public void should_not_look_at_a_hundred_thousand_tasks_that_are_not_due_in_a_round() {
+      // given
+      DispatcherSimulation simulation = new DispatcherSimulation(1, 8).run(100);
+      for (int i = 0; i < 10; i++) {
+        String id = String.format("%016x", i);
+        simulation.submit(
+            new JobSpec(
+                id,
+                "urgent",
+                "text",
+                List.of(serving(1, 500, "")),
+                0,
+                START_MS + MINUTE_MS,
+                MINUTE_MS,
+                TIMES_IN_A_WEEK));
+      }
+      // then
+      assertThat(AllocatedBytes.of(() -> simulation.run(10))).isLessThan(MAX_BYTES);
+    }
+
     /** Regression (LOST, review/6): each end wrote an entry for each occurrence that was over. */
     @Test
     public void should_store_occurrences_that_are_over_as_ranges() {
